Lay out the workspace, the design page and the transport layer

Cause: the project starts empty; every later part needs the shared types, the transport and a check that fails on format, lint or a test. Change: design page with the decisions on job homes, sealing and final answers; four library packages by life span; job types and strict JSON codec; agent map with rendezvous holders over epochs; HTTP server and client on Boost.Beast with bounds; JSON-RPC server on libjsonrpccpp.

--- /dev/null
+++ b/packages/connection/include/wigeonwall/connection/http_client.h
@@ -0,0 +1,77 @@
+/// \file
+/// \brief HTTP/1.1 client with a pool of connections per peer.
+#ifndef WIGEONWALL_CONNECTION_HTTP_CLIENT_H
+#define WIGEONWALL_CONNECTION_HTTP_CLIENT_H
+
+#include "wigeonwall/connection/asio.h"
+#include "wigeonwall/connection/endpoint.h"
+#include "wigeonwall/connection/http_message.h"
+
+#include "wigeonwall/request/enum_names.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace wigeonwall::connection {
+
+/// \brief How an exchange ended.
+enum class TransportError : std::uint8_t {
+  None,
+  /// Nothing was written; the peer cannot have acted on the request.
+  NotSent,
+  /// Written at least in part; the peer may have acted on it.
+  Ambiguous,
+};
+
+inline constexpr std::array<request::EnumName<TransportError>, 3>
+    TransportErrorNames{{
+        {TransportError::None, "none"},
+        {TransportError::NotSent, "not_sent"},
+        {TransportError::Ambiguous, "ambiguous"},
+    }};
+
+struct HttpResult {
+  TransportError Error_ = TransportError::None;
+  /// Text of the last system error, for logs.
+  std::string Detail_;
+  /// Valid when Error_ is None.
+  HttpResponse Response_;
+};
+
+using HttpCallback = std::function<void(HttpResult)>;
+
+struct HttpClientLimits {
+  std::size_t ConnectionsPerPeer_ = 64;
+  std::chrono::milliseconds ConnectTimeout_{250};
+  /// Idle connections close after this; shorter than the idle timeout of
+  /// servers, so that a request seldom meets a connection being closed.
+  std::chrono::milliseconds IdleTimeout_{10'000};
+};
+
+/// \brief Sends requests; each uses one connection until its response is read.
+///
+/// Requests beyond the connection limit of a peer wait in order. All work runs
+/// on the given context, which must have one thread.
+class HttpClient {
+public:
+  HttpClient(asio::io_context &Context, HttpClientLimits Limits);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// \brief Sends \p Request; \p Done is called once, later.
+  void send(const Endpoint &Peer, HttpRequest Request,
+            std::chrono::milliseconds Timeout, HttpCallback Done);
+  /// \brief Closes idle connections to a peer that is gone.
+  void forget(const Endpoint &Peer);
+
+private:
+  struct State;
+  std::shared_ptr<State> State_;
+};
+
+} // namespace wigeonwall::connection
+
+#endif
--- /dev/null
+++ b/packages/connection/src/http_client.cpp
@@ -0,0 +1,268 @@
+#include "wigeonwall/connection/http_client.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace wigeonwall::connection {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+namespace detail {
+
+/// \brief A request that waits for or uses a connection.
+struct PendingRequest {
+  http::request<http::string_body> Message_;
+  std::chrono::steady_clock::time_point Deadline_;
+  HttpCallback Done_;
+};
+
+/// \brief One pooled connection; at most one exchange at a time.
+///
+/// While idle it keeps a read pending, so that a close by the peer is seen
+/// before the next request is written.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+public:
+  using Released = std::function<void(std::shared_ptr<ClientConnection>, bool)>;
+
+  ClientConnection(asio::io_context &Context, Released OnRelease)
+      : Stream_(Context), OnRelease_(std::move(OnRelease)) {}
+
+  void connectAndRun(const Tcp::endpoint &Peer,
+                     std::chrono::milliseconds ConnectTimeout,
+                     PendingRequest Request) {
+    Request_.emplace(std::move(Request));
+    Stream_.expires_after(ConnectTimeout);
+    Stream_.async_connect(Peer, [Self = shared_from_this()](auto Error) {
+      if (Error)
+        return Self->finish(TransportError::NotSent, Error.message());
+      boost::system::error_code Ignored;
+      Self->Stream_.socket().set_option(Tcp::no_delay(true), Ignored);
+      Self->write();
+    });
+  }
+
+  /// \brief Runs a request on an idle connection.
+  void run(PendingRequest Request) {
+    Request_.emplace(std::move(Request));
+    write();
+  }
+
+  void watchIdle(std::chrono::milliseconds IdleTimeout) {
+    Stream_.expires_after(IdleTimeout);
+    Stream_.socket().async_wait(
+        Tcp::socket::wait_read,
+        [Weak = weak_from_this(), Turn = ++IdleTurn_](auto) {
+          auto Self = Weak.lock();
+          // Readable while idle means that the peer closed the connection.
+          if (Self && !Self->Request_ && Self->IdleTurn_ == Turn)
+            Self->close();
+        });
+    IdleUntil_ = std::chrono::steady_clock::now() + IdleTimeout;
+  }
+
+  /// \brief True while the peer has neither closed nor sent anything.
+  [[nodiscard]] bool usable() {
+    if (!Open_ || std::chrono::steady_clock::now() >= IdleUntil_)
+      return false;
+    boost::system::error_code Error;
+    char Byte = 0;
+    Stream_.socket().non_blocking(true, Error);
+    Stream_.socket().receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek,
+                             Error);
+    return Error == asio::error::would_block;
+  }
+
+  void close() {
+    Open_ = false;
+    boost::system::error_code Ignored;
+    Stream_.socket().close(Ignored);
+  }
+
+private:
+  void write() {
+    ++IdleTurn_;
+    Stream_.expires_at(Request_->Deadline_);
+    http::async_write(
+        Stream_, Request_->Message_,
+        [Self = shared_from_this()](auto Error, std::size_t Size) {
+          if (Error)
+            return Self->finish(Size == 0 ? TransportError::NotSent
+                                          : TransportError::Ambiguous,
+                                Error.message());
+          Self->read();
+        });
+  }
+
+  void read() {
+    Parser_.emplace();
+    Parser_->body_limit(MaxResponseBytes);
+    http::async_read(Stream_, Buffer_, *Parser_,
+                     [Self = shared_from_this()](auto Error, std::size_t) {
+                       if (Error)
+                         return Self->finish(TransportError::Ambiguous,
+                                             Error.message());
+                       Self->finishWithResponse();
+                     });
+  }
+
+  void finishWithResponse() {
+    const bool Reusable = Parser_->get().keep_alive();
+    auto Message = Parser_->release();
+    HttpResult Result;
+    Result.Response_.Status_ = static_cast<int>(Message.result_int());
+    for (const auto &Field : Message)
+      Result.Response_.Headers_.emplace_back(
+          beast::string_view(Field.name_string()), Field.value());
+    for (auto &[Name, Value] : Result.Response_.Headers_)
+      for (char &Character : Name)
+        Character = static_cast<char>(
+            std::tolower(static_cast<unsigned char>(Character)));
+    Result.Response_.Body_ = std::move(Message.body());
+    complete(std::move(Result), Reusable);
+  }
+
+  void finish(TransportError Error, std::string Detail) {
+    HttpResult Result;
+    Result.Error_ = Error;
+    Result.Detail_ = std::move(Detail);
+    complete(std::move(Result), false);
+  }
+
+  void complete(HttpResult Result, bool Reusable) {
+    HttpCallback Done = std::move(Request_->Done_);
+    Request_.reset();
+    if (!Reusable)
+      close();
+    // The owner may give the connection its next request before Done runs.
+    OnRelease_(shared_from_this(), Reusable);
+    Done(std::move(Result));
+  }
+
+  static constexpr std::uint64_t MaxResponseBytes = 64ULL * 1024 * 1024;
+
+  beast::tcp_stream Stream_;
+  Released OnRelease_;
+  beast::flat_buffer Buffer_;
+  std::optional<PendingRequest> Request_;
+  std::optional<http::response_parser<http::string_body>> Parser_;
+  std::chrono::steady_clock::time_point IdleUntil_;
+  std::uint64_t IdleTurn_ = 0;
+  bool Open_ = true;
+};
+
+/// \brief Connections and waiting requests of one peer.
+struct PeerPool {
+  std::vector<std::shared_ptr<ClientConnection>> Idle_;
+  std::deque<PendingRequest> Waiting_;
+  std::size_t Busy_ = 0;
+};
+
+} // namespace detail
+
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
+  State(asio::io_context &Context, HttpClientLimits Limits)
+      : Context_(Context), Limits_(Limits) {}
+
+  void submit(const Endpoint &Peer, detail::PendingRequest Request) {
+    detail::PeerPool &Pool = Pools_[Peer];
+    Pool.Waiting_.push_back(std::move(Request));
+    startWaiting(Peer, Pool);
+  }
+
+  void startWaiting(const Endpoint &Peer, detail::PeerPool &Pool) {
+    while (!Pool.Waiting_.empty() && Pool.Busy_ < Limits_.ConnectionsPerPeer_) {
+      detail::PendingRequest Request = std::move(Pool.Waiting_.front());
+      Pool.Waiting_.pop_front();
+      if (std::chrono::steady_clock::now() >= Request.Deadline_) {
+        expire(std::move(Request));
+        continue;
+      }
+      ++Pool.Busy_;
+      start(Peer, Pool, std::move(Request));
+    }
+  }
+
+  void start(const Endpoint &Peer, detail::PeerPool &Pool,
+             detail::PendingRequest Request) {
+    while (!Pool.Idle_.empty()) {
+      auto Connection = std::move(Pool.Idle_.back());
+      Pool.Idle_.pop_back();
+      if (Connection->usable())
+        return Connection->run(std::move(Request));
+      Connection->close();
+    }
+    auto Connection = std::make_shared<detail::ClientConnection>(
+        Context_, [Weak = weak_from_this(), Peer](auto Self, bool Reusable) {
+          if (auto Owner = Weak.lock())
+            Owner->release(Peer, std::move(Self), Reusable);
+        });
+    boost::system::error_code Error;
+    const auto Address = asio::ip::make_address(Peer.Host_, Error);
+    Connection->connectAndRun({Address, Peer.Port_}, Limits_.ConnectTimeout_,
+                              std::move(Request));
+  }
+
+  void release(const Endpoint &Peer,
+               std::shared_ptr<detail::ClientConnection> Connection,
+               bool Reusable) {
+    detail::PeerPool &Pool = Pools_[Peer];
+    --Pool.Busy_;
+    if (Reusable) {
+      Connection->watchIdle(Limits_.IdleTimeout_);
+      Pool.Idle_.push_back(std::move(Connection));
+    }
+    startWaiting(Peer, Pool);
+  }
+
+  void expire(detail::PendingRequest Request) {
+    asio::post(Context_, [Done = std::move(Request.Done_)] {
+      HttpResult Result;
+      Result.Error_ = TransportError::NotSent;
+      Result.Detail_ = "timed out while waiting for a connection";
+      Done(std::move(Result));
+    });
+  }
+
+  asio::io_context &Context_;
+  HttpClientLimits Limits_;
+  std::map<Endpoint, detail::PeerPool> Pools_;
+};
+
+HttpClient::HttpClient(asio::io_context &Context, HttpClientLimits Limits)
+    : State_(std::make_shared<State>(Context, Limits)) {}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(const Endpoint &Peer, HttpRequest Request,
+                      std::chrono::milliseconds Timeout, HttpCallback Done) {
+  detail::PendingRequest Pending;
+  auto &Message = Pending.Message_;
+  Message.method_string(Request.Method_);
+  Message.target(Request.Target_);
+  Message.version(11);
+  Message.set(http::field::host, formatEndpoint(Peer));
+  for (const auto &[Name, Value] : Request.Headers_)
+    Message.set(Name, Value);
+  Message.body() = std::move(Request.Body_);
+  Message.prepare_payload();
+  Pending.Deadline_ = std::chrono::steady_clock::now() + Timeout;
+  Pending.Done_ = std::move(Done);
+  State_->submit(Peer, std::move(Pending));
+}
+
+void HttpClient::forget(const Endpoint &Peer) {
+  const auto Found = State_->Pools_.find(Peer);
+  if (Found == State_->Pools_.end())
+    return;
+  for (const auto &Connection : Found->second.Idle_)
+    Connection->close();
+  Found->second.Idle_.clear();
+}
+
+} // namespace wigeonwall::connection
--- /dev/null
+++ b/packages/connection/src/http_server.cpp
@@ -0,0 +1,218 @@
+#include "wigeonwall/connection/http_server.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <optional>
+
+namespace wigeonwall::connection {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+  State(asio::io_context &Context, Endpoint Address, HttpLimits Limits,
+        HttpHandler Handler)
+      : Context_(Context), Address_(std::move(Address)), Limits_(Limits),
+        Handler_(std::move(Handler)), Acceptor_(Context) {}
+
+  void accept();
+
+  asio::io_context &Context_;
+  Endpoint Address_;
+  HttpLimits Limits_;
+  HttpHandler Handler_;
+  Tcp::acceptor Acceptor_;
+  std::uint16_t Port_ = 0;
+  std::size_t Connections_ = 0;
+  bool Stopping_ = false;
+};
+
+namespace detail {
+
+/// \brief One accepted connection: reads a request, waits for its response,
+/// writes it, and starts again.
+template <typename ServerState>
+class HttpSession
+    : public std::enable_shared_from_this<HttpSession<ServerState>> {
+public:
+  HttpSession(Tcp::socket Socket, std::shared_ptr<ServerState> Server)
+      : Stream_(std::move(Socket)), Server_(std::move(Server)) {
+    ++Server_->Connections_;
+  }
+  ~HttpSession() { --Server_->Connections_; }
+  HttpSession(const HttpSession &) = delete;
+  HttpSession &operator=(const HttpSession &) = delete;
+
+  void awaitRequest() {
+    Parser_.emplace();
+    Parser_->header_limit(Server_->Limits_.HeaderBytes_);
+    Parser_->body_limit(Server_->Limits_.BodyBytes_);
+    if (Buffer_.size() > 0)
+      return readRequest();
+    Stream_.expires_after(Server_->Limits_.IdleTimeout_);
+    Stream_.async_read_some(
+        Buffer_.prepare(ReadChunkBytes),
+        [Self = this->shared_from_this()](auto Error, std::size_t Size) {
+          if (Error)
+            return Self->close();
+          Self->Buffer_.commit(Size);
+          Self->readRequest();
+        });
+  }
+
+private:
+  static constexpr std::size_t ReadChunkBytes = 4096;
+
+  void readRequest() {
+    Stream_.expires_after(Server_->Limits_.ReadTimeout_);
+    http::async_read(Stream_, Buffer_, *Parser_,
+                     [Self = this->shared_from_this()](
+                         auto Error, std::size_t) { Self->onRead(Error); });
+  }
+
+  void onRead(beast::error_code Error) {
+    if (Error == http::error::body_limit)
+      return refuse(413, "request body too large");
+    if (Error == http::error::header_limit)
+      return refuse(431, "request header too large");
+    if (Error == beast::error::timeout)
+      return close();
+    if (Error &&
+        Error.category() ==
+            http::make_error_code(http::error::bad_method).category() &&
+        Error != http::error::end_of_stream &&
+        Error != http::error::partial_message)
+      return refuse(400, "malformed HTTP request: " + Error.message());
+    if (Error)
+      return close();
+    dispatch();
+  }
+
+  void dispatch() {
+    auto Message = Parser_->release();
+    KeepAlive_ = Message.keep_alive();
+    Version_ = Message.version();
+    HttpRequest Request;
+    Request.Method_ = std::string(Message.method_string());
+    Request.Target_ = std::string(Message.target());
+    Request.Body_ = std::move(Message.body());
+    for (const auto &Field : Message) {
+      std::string Name(Field.name_string());
+      std::transform(Name.begin(), Name.end(), Name.begin(),
+                     [](unsigned char C) { return std::tolower(C); });
+      Request.Headers_.emplace_back(std::move(Name),
+                                    std::string(Field.value()));
+    }
+    // The response may take as long as the job runs.
+    Stream_.expires_never();
+    Server_->Handler_(std::move(Request),
+                      [Self = this->shared_from_this()](HttpResponse Response) {
+                        Self->write(std::move(Response));
+                      });
+  }
+
+  void refuse(int Status, std::string Message) {
+    KeepAlive_ = false;
+    HttpResponse Response;
+    Response.Status_ = Status;
+    Response.ContentType_ = "text/plain";
+    Response.Body_ = std::move(Message) + "\n";
+    write(std::move(Response));
+  }
+
+  void write(HttpResponse Response) {
+    Message_.emplace(static_cast<http::status>(Response.Status_), Version_);
+    for (const auto &[Name, Value] : Response.Headers_)
+      Message_->set(Name, Value);
+    Message_->set(http::field::content_type, Response.ContentType_);
+    Message_->body() = std::move(Response.Body_);
+    KeepAlive_ = KeepAlive_ && !Server_->Stopping_;
+    Message_->keep_alive(KeepAlive_);
+    Message_->prepare_payload();
+    Stream_.expires_after(Server_->Limits_.ReadTimeout_);
+    http::async_write(
+        Stream_, *Message_,
+        [Self = this->shared_from_this()](auto Error, std::size_t) {
+          if (Error || !Self->KeepAlive_)
+            return Self->close();
+          Self->awaitRequest();
+        });
+  }
+
+  void close() {
+    beast::error_code Ignored;
+    Stream_.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
+  }
+
+  beast::tcp_stream Stream_;
+  std::shared_ptr<ServerState> Server_;
+  beast::flat_buffer Buffer_;
+  std::optional<http::request_parser<http::string_body>> Parser_;
+  std::optional<http::response<http::string_body>> Message_;
+  unsigned Version_ = 11;
+  bool KeepAlive_ = false;
+};
+
+} // namespace detail
+
+void HttpServer::State::accept() {
+  Acceptor_.async_accept(
+      [Self = shared_from_this()](auto Error, Tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted || Self->Stopping_)
+          return;
+        const bool Full = Self->Connections_ >= Self->Limits_.Connections_;
+        if (!Error && !Full) {
+          boost::system::error_code Ignored;
+          Socket.set_option(Tcp::no_delay(true), Ignored);
+          std::make_shared<detail::HttpSession<State>>(std::move(Socket), Self)
+              ->awaitRequest();
+        }
+        Self->accept();
+      });
+}
+
+HttpServer::HttpServer(asio::io_context &Context, Endpoint Address,
+                       HttpLimits Limits, HttpHandler Handler)
+    : State_(std::make_shared<State>(Context, std::move(Address), Limits,
+                                     std::move(Handler))) {}
+
+HttpServer::~HttpServer() { stopAccepting(); }
+
+bool HttpServer::listen() {
+  boost::system::error_code Error;
+  const Tcp::endpoint Local(
+      asio::ip::make_address(State_->Address_.Host_, Error),
+      State_->Address_.Port_);
+  Tcp::acceptor &Acceptor = State_->Acceptor_;
+  if (!Error)
+    Acceptor.open(Local.protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(Local, Error);
+  if (!Error)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+  if (Error)
+    return false;
+  State_->Port_ = Acceptor.local_endpoint().port();
+  State_->accept();
+  return true;
+}
+
+std::uint16_t HttpServer::port() const noexcept { return State_->Port_; }
+
+void HttpServer::stopAccepting() {
+  State_->Stopping_ = true;
+  boost::system::error_code Ignored;
+  State_->Acceptor_.close(Ignored);
+}
+
+std::size_t HttpServer::connectionCount() const noexcept {
+  return State_->Connections_;
+}
+
+} // namespace wigeonwall::connection
--- /dev/null
+++ b/packages/process/include/wigeonwall/process/cluster_view.h
@@ -0,0 +1,89 @@
+/// \file
+/// \brief What the control thread publishes to the traffic threads.
+#ifndef WIGEONWALL_PROCESS_CLUSTER_VIEW_H
+#define WIGEONWALL_PROCESS_CLUSTER_VIEW_H
+
+#include "wigeonwall/request/enum_names.h"
+#include "wigeonwall/version/agent_map.h"
+#include "wigeonwall/version/config.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wigeonwall::process {
+
+enum class Role : std::uint8_t { Entry, Agent };
+
+inline constexpr std::array<request::EnumName<Role>, 2> RoleNames{{
+    {Role::Entry, "entry"},
+    {Role::Agent, "agent"},
+}};
+
+enum class MemberState : std::uint8_t { Alive, Suspect, Leaving, Dead, Left };
+
+inline constexpr std::array<request::EnumName<MemberState>, 5> MemberStateNames{
+    {
+        {MemberState::Alive, "alive"},
+        {MemberState::Suspect, "suspect"},
+        {MemberState::Leaving, "leaving"},
+        {MemberState::Dead, "dead"},
+        {MemberState::Left, "left"},
+    }};
+
+/// \brief One process of the system, as announced by itself.
+struct Member {
+  std::string Id_;
+  Role Role_ = Role::Agent;
+  /// Unix time in ms of the process start.
+  std::int64_t Incarnation_ = 0;
+  std::string ControlAddress_;
+  std::string TrafficAddress_;
+  std::string FailureDomain_;
+  /// Empty for an entry.
+  std::string Service_;
+  MemberState State_ = MemberState::Alive;
+};
+
+/// \brief Immutable snapshot of all control state.
+struct ClusterView {
+  /// Null until learned; the process is not ready before it has both.
+  std::shared_ptr<const version::AgentMap> Map_;
+  std::shared_ptr<const version::Config> Config_;
+  /// This process included.
+  std::vector<Member> Members_;
+
+  [[nodiscard]] bool ready() const noexcept { return Map_ && Config_; }
+  [[nodiscard]] const Member *findMember(const std::string &Id) const {
+    for (const Member &Each : Members_)
+      if (Each.Id_ == Id)
+        return &Each;
+    return nullptr;
+  }
+};
+
+/// \brief Holder of the current view; one writer, any number of readers.
+class ViewPublisher {
+public:
+  using Observer = std::function<void(std::shared_ptr<const ClusterView>)>;
+
+  [[nodiscard]] std::shared_ptr<const ClusterView> current() const {
+    return View_.load();
+  }
+  /// \brief Replaces the view and calls the observers on this thread.
+  void publish(std::shared_ptr<const ClusterView> View);
+  /// \brief Adds an observer; call before the first publish().
+  void observe(Observer Each) { Observers_.push_back(std::move(Each)); }
+
+private:
+  std::atomic<std::shared_ptr<const ClusterView>> View_{
+      std::make_shared<const ClusterView>()};
+  std::vector<Observer> Observers_;
+};
+
+} // namespace wigeonwall::process
+
+#endif
--- /dev/null
+++ b/packages/process/include/wigeonwall/process/fwd.h
@@ -0,0 +1,12 @@
+/// \file
+/// \brief Forward declarations of the process package.
+#ifndef WIGEONWALL_PROCESS_FWD_H
+#define WIGEONWALL_PROCESS_FWD_H
+
+namespace wigeonwall::process {
+
+class Counters;
+
+} // namespace wigeonwall::process
+
+#endif
--- /dev/null
+++ b/packages/process/src/counters.cpp
@@ -0,0 +1,108 @@
+#include "wigeonwall/process/counters.h"
+
+#include <sstream>
+
+namespace wigeonwall::process {
+
+namespace {
+
+constexpr double FirstBoundSeconds = 0.001;
+constexpr double NanosecondsPerSecond = 1e9;
+
+std::string seriesName(const std::string &Name, const std::string &Label,
+                       const std::string &LabelValue) {
+  if (Label.empty())
+    return Name;
+  return Name + "{" + Label + "=\"" + LabelValue + "\"}";
+}
+
+/// Inserts the `le` label of a bucket into a series name.
+std::string bucketName(const std::string &Series, const std::string &Bound) {
+  const std::size_t Brace = Series.find('{');
+  const std::string Label = "le=\"" + Bound + "\"";
+  if (Brace == std::string::npos)
+    return Series + "_bucket{" + Label + "}";
+  return Series.substr(0, Brace) + "_bucket{" + Label + "," +
+         Series.substr(Brace + 1);
+}
+
+std::string suffixed(const std::string &Series, const std::string &Suffix) {
+  const std::size_t Brace = Series.find('{');
+  if (Brace == std::string::npos)
+    return Series + Suffix;
+  return Series.substr(0, Brace) + Suffix + Series.substr(Brace);
+}
+
+void writeHistogram(std::ostream &Out, const std::string &Series,
+                    const Histogram &Values) {
+  std::uint64_t Total = 0;
+  for (std::size_t I = 0; I < Histogram::BucketCount; ++I) {
+    Total += Values.count(I);
+    std::ostringstream Bound;
+    if (I + 1 == Histogram::BucketCount)
+      Bound << "+Inf";
+    else
+      Bound << Histogram::upperBoundSeconds(I);
+    Out << bucketName(Series, Bound.str()) << ' ' << Total << '\n';
+  }
+  Out << suffixed(Series, "_sum") << ' ' << Values.sumSeconds() << '\n';
+  Out << suffixed(Series, "_count") << ' ' << Total << '\n';
+}
+
+} // namespace
+
+void Histogram::record(std::chrono::nanoseconds Value) noexcept {
+  const double Seconds =
+      static_cast<double>(Value.count()) / NanosecondsPerSecond;
+  std::size_t Bucket = 0;
+  while (Bucket + 1 < BucketCount && Seconds > upperBoundSeconds(Bucket))
+    ++Bucket;
+  Buckets_[Bucket].fetch_add(1, std::memory_order_relaxed);
+  SumNanoseconds_.fetch_add(static_cast<std::uint64_t>(Value.count()),
+                            std::memory_order_relaxed);
+}
+
+double Histogram::upperBoundSeconds(std::size_t Bucket) noexcept {
+  return FirstBoundSeconds * static_cast<double>(1ULL << Bucket);
+}
+
+std::uint64_t Histogram::count(std::size_t Bucket) const noexcept {
+  return Buckets_[Bucket].load(std::memory_order_relaxed);
+}
+
+double Histogram::sumSeconds() const noexcept {
+  return static_cast<double>(SumNanoseconds_.load(std::memory_order_relaxed)) /
+         NanosecondsPerSecond;
+}
+
+Counters::Value &Counters::counter(const std::string &Name,
+                                   const std::string &Label,
+                                   const std::string &LabelValue) {
+  const std::scoped_lock Lock(Mutex_);
+  auto &Slot = Values_[seriesName(Name, Label, LabelValue)];
+  if (!Slot)
+    Slot = std::make_unique<Value>(0);
+  return *Slot;
+}
+
+Histogram &Counters::histogram(const std::string &Name,
+                               const std::string &Label,
+                               const std::string &LabelValue) {
+  const std::scoped_lock Lock(Mutex_);
+  auto &Slot = Histograms_[seriesName(Name, Label, LabelValue)];
+  if (!Slot)
+    Slot = std::make_unique<Histogram>();
+  return *Slot;
+}
+
+std::string Counters::exposition() const {
+  const std::scoped_lock Lock(Mutex_);
+  std::ostringstream Out;
+  for (const auto &[Series, Value] : Values_)
+    Out << Series << ' ' << Value->load(std::memory_order_relaxed) << '\n';
+  for (const auto &[Series, Values] : Histograms_)
+    writeHistogram(Out, Series, *Values);
+  return Out.str();
+}
+
+} // namespace wigeonwall::process
--- /dev/null
+++ b/packages/request/include/wigeonwall/request.h
@@ -0,0 +1,15 @@
+/// \file
+/// \brief Public include of the request package: what lives for one request.
+#ifndef WIGEONWALL_REQUEST_H
+#define WIGEONWALL_REQUEST_H
+
+// IWYU pragma: begin_exports
+#include "wigeonwall/request/clock.h"
+#include "wigeonwall/request/codec.h"
+#include "wigeonwall/request/enum_names.h"
+#include "wigeonwall/request/fault.h"
+#include "wigeonwall/request/fwd.h"
+#include "wigeonwall/request/types.h"
+// IWYU pragma: end_exports
+
+#endif
--- /dev/null
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -0,0 +1,22 @@
+/// \file
+/// \brief Forward declarations of the request package.
+#ifndef WIGEONWALL_REQUEST_FWD_H
+#define WIGEONWALL_REQUEST_FWD_H
+
+#include <cstdint>
+
+namespace wigeonwall::request {
+
+struct AgentLoad;
+struct JobAnswer;
+struct JobKey;
+struct JobSpec;
+struct TaskResult;
+struct TaskSpec;
+enum class Outcome : std::uint8_t;
+enum class Reason : std::uint8_t;
+template <typename Code> struct Fault;
+
+} // namespace wigeonwall::request
+
+#endif
--- /dev/null
+++ b/packages/version/include/wigeonwall/version/agent_map.h
@@ -0,0 +1,109 @@
+/// \file
+/// \brief The agreed list of agents and the holders of a job's record.
+#ifndef WIGEONWALL_VERSION_AGENT_MAP_H
+#define WIGEONWALL_VERSION_AGENT_MAP_H
+
+#include "wigeonwall/request/fault.h"
+#include "wigeonwall/request/types.h"
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwall::version {
+
+/// \brief Number of a map; rises by one with each change.
+using Epoch = std::uint64_t;
+
+/// \brief One agent incarnation, present or departed.
+struct MapAgent {
+  std::string Id_;
+  /// Unix time in ms of the process start.
+  std::int64_t Incarnation_ = 0;
+  /// "IP:port" of the control and the traffic RPC server.
+  std::string ControlAddress_;
+  std::string TrafficAddress_;
+  std::string FailureDomain_;
+  std::string Service_;
+  /// First epoch that lists this incarnation.
+  Epoch JoinedEpoch_ = 0;
+  /// First epoch that no longer lists it; 0 while present.
+  Epoch RemovedEpoch_ = 0;
+  /// Unix time in ms of the removal; 0 while present.
+  std::int64_t RemovedAtMs_ = 0;
+  /// Unix time in ms after which it accepted no job, by its own statement on a
+  /// planned stop; 0 when it gave none.
+  std::int64_t StoppedAtMs_ = 0;
+
+  [[nodiscard]] bool presentIn(Epoch When) const noexcept {
+    return JoinedEpoch_ <= When && (RemovedEpoch_ == 0 || When < RemovedEpoch_);
+  }
+};
+
+/// \brief Holders of one job's record under one epoch.
+struct HolderPair {
+  const MapAgent *Home_ = nullptr;
+  /// Null when the service has one agent.
+  const MapAgent *Copy_ = nullptr;
+};
+
+/// \brief Present agents and those that left within the record retention.
+struct AgentMap {
+  Epoch Epoch_ = 0;
+  /// Oldest epoch whose pairs can still matter.
+  Epoch OldestEpoch_ = 0;
+  std::vector<MapAgent> Agents_;
+
+  /// \brief Holders of \p Key under \p When, by rendezvous hashing.
+  [[nodiscard]] HolderPair holders(const request::JobKey &Key,
+                                   Epoch When) const;
+  /// \brief Holders under the current epoch.
+  [[nodiscard]] HolderPair holders(const request::JobKey &Key) const {
+    return holders(Key, Epoch_);
+  }
+  /// \brief Distinct pairs under earlier epochs back to OldestEpoch_ that
+  /// differ from the current pair.
+  [[nodiscard]] std::vector<HolderPair>
+  earlierHolders(const request::JobKey &Key) const;
+  /// \brief Present agents of \p Service.
+  [[nodiscard]] std::vector<const MapAgent *>
+  agentsOf(const std::string &Service) const;
+  [[nodiscard]] const MapAgent *findPresent(const std::string &Id) const;
+};
+
+/// \brief Errors of reading a map.
+enum class MapError : std::uint8_t { None, Malformed };
+using MapFault = request::Fault<MapError>;
+
+[[nodiscard]] Json::Value encodeMap(const AgentMap &Map);
+[[nodiscard]] std::optional<AgentMap> decodeMap(const Json::Value &Value,
+                                                MapFault &Why);
+
+/// \brief Change to apply to a map in one compare-and-swap.
+struct MapChange {
+  /// Agents to add; one with the id of a present agent replaces it.
+  std::vector<MapAgent> Joins_;
+  /// Id and incarnation of agents to remove.
+  struct Removal {
+    std::string Id_;
+    std::int64_t Incarnation_ = 0;
+    std::int64_t StoppedAtMs_ = 0;
+  };
+  std::vector<Removal> Removals_;
+};
+
+/// \brief Returns the map with \p Change applied and the next epoch, or
+/// nothing when \p Change alters nothing.
+///
+/// Departed agents older than \p RetentionMs are dropped.
+[[nodiscard]] std::optional<AgentMap> applyChange(const AgentMap &Map,
+                                                  const MapChange &Change,
+                                                  std::int64_t NowMs,
+                                                  std::int64_t RetentionMs);
+
+} // namespace wigeonwall::version
+
+#endif
--- /dev/null
+++ b/packages/version/include/wigeonwall/version/fwd.h
@@ -0,0 +1,13 @@
+/// \file
+/// \brief Forward declarations of the version package.
+#ifndef WIGEONWALL_VERSION_FWD_H
+#define WIGEONWALL_VERSION_FWD_H
+
+namespace wigeonwall::version {
+
+struct AgentMap;
+struct MapAgent;
+
+} // namespace wigeonwall::version
+
+#endif
--- /dev/null
+++ b/packages/version/src/agent_map.cpp
@@ -0,0 +1,251 @@
+#include "wigeonwall/version/agent_map.h"
+
+#include "wigeonwall/request/field_reader.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wigeonwall::version {
+
+using request::CodecFault;
+using request::FieldReader;
+using request::JobKey;
+
+namespace {
+
+constexpr std::uint64_t FnvOffset = 14695981039346656037ULL;
+constexpr std::uint64_t FnvPrime = 1099511628211ULL;
+
+void mix(std::uint64_t &Hash, const std::string &Text) {
+  for (unsigned char Byte : Text)
+    Hash = (Hash ^ Byte) * FnvPrime;
+  Hash = (Hash ^ 0x1f) * FnvPrime;
+}
+
+/// Spreads the bits of an FNV hash, whose high bits vary little for short
+/// inputs (finalizer of SplitMix64).
+std::uint64_t finalize(std::uint64_t Hash) {
+  Hash = (Hash ^ (Hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  Hash = (Hash ^ (Hash >> 27)) * 0x94d049bb133111ebULL;
+  return Hash ^ (Hash >> 31);
+}
+
+std::uint64_t weight(const JobKey &Key, const MapAgent &Agent) {
+  std::uint64_t Hash = FnvOffset;
+  mix(Hash, Key.Service_);
+  mix(Hash, Key.Id_);
+  mix(Hash, Agent.Id_);
+  return finalize(Hash);
+}
+
+std::pair<std::string, std::int64_t> identity(const MapAgent *Agent) {
+  if (Agent == nullptr)
+    return {"", 0};
+  return {Agent->Id_, Agent->Incarnation_};
+}
+
+Json::Value encodeAgent(const MapAgent &Agent) {
+  Json::Value Value;
+  Value["id"] = Agent.Id_;
+  Value["incarnation"] = Json::Int64(Agent.Incarnation_);
+  Value["control"] = Agent.ControlAddress_;
+  Value["traffic"] = Agent.TrafficAddress_;
+  Value["failure_domain"] = Agent.FailureDomain_;
+  Value["service"] = Agent.Service_;
+  Value["joined_epoch"] = Json::UInt64(Agent.JoinedEpoch_);
+  if (Agent.RemovedEpoch_ != 0) {
+    Value["removed_epoch"] = Json::UInt64(Agent.RemovedEpoch_);
+    Value["removed_at_ms"] = Json::Int64(Agent.RemovedAtMs_);
+    Value["stopped_at_ms"] = Json::Int64(Agent.StoppedAtMs_);
+  }
+  return Value;
+}
+
+std::optional<MapAgent> decodeAgent(const Json::Value &Value,
+                                    const std::string &Position,
+                                    CodecFault &Why) {
+  FieldReader Reader(Value, Position, Why);
+  MapAgent Agent;
+  std::int64_t Joined = 0;
+  std::int64_t Removed = 0;
+  Reader.string("id", Agent.Id_);
+  Reader.integer("incarnation", 0, INT64_MAX, Agent.Incarnation_);
+  Reader.string("control", Agent.ControlAddress_);
+  Reader.string("traffic", Agent.TrafficAddress_);
+  Reader.string("failure_domain", Agent.FailureDomain_);
+  Reader.string("service", Agent.Service_);
+  Reader.integer("joined_epoch", 0, INT64_MAX, Joined);
+  Reader.optionalInteger("removed_epoch", 0, INT64_MAX, Removed);
+  Reader.optionalInteger("removed_at_ms", 0, INT64_MAX, Agent.RemovedAtMs_);
+  Reader.optionalInteger("stopped_at_ms", 0, INT64_MAX, Agent.StoppedAtMs_);
+  if (!Reader.finish())
+    return std::nullopt;
+  Agent.JoinedEpoch_ = static_cast<Epoch>(Joined);
+  Agent.RemovedEpoch_ = static_cast<Epoch>(Removed);
+  return Agent;
+}
+
+} // namespace
+
+HolderPair AgentMap::holders(const JobKey &Key, Epoch When) const {
+  std::vector<std::pair<std::uint64_t, const MapAgent *>> Ranked;
+  for (const MapAgent &Agent : Agents_)
+    if (Agent.Service_ == Key.Service_ && Agent.presentIn(When))
+      Ranked.emplace_back(weight(Key, Agent), &Agent);
+  std::sort(Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
+    return A.first != B.first ? A.first > B.first
+                              : A.second->Id_ < B.second->Id_;
+  });
+  HolderPair Pair;
+  if (Ranked.empty())
+    return Pair;
+  Pair.Home_ = Ranked.front().second;
+  for (std::size_t I = 1; I < Ranked.size() && Pair.Copy_ == nullptr; ++I)
+    if (Ranked[I].second->FailureDomain_ != Pair.Home_->FailureDomain_)
+      Pair.Copy_ = Ranked[I].second;
+  if (Pair.Copy_ == nullptr && Ranked.size() > 1)
+    Pair.Copy_ = Ranked[1].second;
+  return Pair;
+}
+
+std::vector<HolderPair> AgentMap::earlierHolders(const JobKey &Key) const {
+  // Pairs change only where an agent of the service joined or left.
+  std::set<Epoch> Starts{OldestEpoch_};
+  for (const MapAgent &Agent : Agents_) {
+    if (Agent.Service_ != Key.Service_)
+      continue;
+    Starts.insert(Agent.JoinedEpoch_);
+    if (Agent.RemovedEpoch_ != 0)
+      Starts.insert(Agent.RemovedEpoch_);
+  }
+  using Identity = std::pair<std::string, std::int64_t>;
+  const HolderPair Current = holders(Key);
+  std::set<std::pair<Identity, Identity>> Seen{
+      {identity(Current.Home_), identity(Current.Copy_)}};
+  std::vector<HolderPair> Result;
+  for (Epoch Start : Starts) {
+    if (Start < OldestEpoch_ || Start >= Epoch_)
+      continue;
+    const HolderPair Pair = holders(Key, Start);
+    if (Pair.Home_ != nullptr &&
+        Seen.insert({identity(Pair.Home_), identity(Pair.Copy_)}).second)
+      Result.push_back(Pair);
+  }
+  return Result;
+}
+
+std::vector<const MapAgent *>
+AgentMap::agentsOf(const std::string &Service) const {
+  std::vector<const MapAgent *> Result;
+  for (const MapAgent &Agent : Agents_)
+    if (Agent.RemovedEpoch_ == 0 && Agent.Service_ == Service)
+      Result.push_back(&Agent);
+  return Result;
+}
+
+const MapAgent *AgentMap::findPresent(const std::string &Id) const {
+  for (const MapAgent &Agent : Agents_)
+    if (Agent.RemovedEpoch_ == 0 && Agent.Id_ == Id)
+      return &Agent;
+  return nullptr;
+}
+
+Json::Value encodeMap(const AgentMap &Map) {
+  Json::Value Value;
+  Value["epoch"] = Json::UInt64(Map.Epoch_);
+  Value["oldest_epoch"] = Json::UInt64(Map.OldestEpoch_);
+  Json::Value Agents(Json::arrayValue);
+  for (const MapAgent &Agent : Map.Agents_)
+    Agents.append(encodeAgent(Agent));
+  Value["agents"] = std::move(Agents);
+  return Value;
+}
+
+std::optional<AgentMap> decodeMap(const Json::Value &Value, MapFault &Why) {
+  CodecFault Inner;
+  FieldReader Reader(Value, "", Inner);
+  AgentMap Map;
+  std::int64_t Number = 0;
+  std::int64_t Oldest = 0;
+  Json::Value Agents(Json::arrayValue);
+  Reader.integer("epoch", 0, INT64_MAX, Number);
+  Reader.integer("oldest_epoch", 0, INT64_MAX, Oldest);
+  Reader.optionalArray("agents", Agents);
+  bool Valid = Reader.finish();
+  for (Json::ArrayIndex I = 0; Valid && I < Agents.size(); ++I) {
+    auto Agent = decodeAgent(Agents[I], "/agents/" + std::to_string(I), Inner);
+    Valid = Agent.has_value();
+    if (Agent)
+      Map.Agents_.push_back(std::move(*Agent));
+  }
+  if (!Valid) {
+    Why = {MapError::Malformed, Inner.Message_, Inner.Position_};
+    return std::nullopt;
+  }
+  Map.Epoch_ = static_cast<Epoch>(Number);
+  Map.OldestEpoch_ = static_cast<Epoch>(Oldest);
+  return Map;
+}
+
+namespace {
+
+bool remove(AgentMap &Map, const MapChange::Removal &Removal, Epoch Next,
+            std::int64_t NowMs) {
+  for (MapAgent &Agent : Map.Agents_) {
+    if (Agent.RemovedEpoch_ != 0 || Agent.Id_ != Removal.Id_ ||
+        Agent.Incarnation_ != Removal.Incarnation_)
+      continue;
+    Agent.RemovedEpoch_ = Next;
+    Agent.RemovedAtMs_ = NowMs;
+    Agent.StoppedAtMs_ = Removal.StoppedAtMs_;
+    return true;
+  }
+  return false;
+}
+
+bool join(AgentMap &Map, MapAgent Agent, Epoch Next, std::int64_t NowMs) {
+  if (const MapAgent *Present = Map.findPresent(Agent.Id_)) {
+    if (Present->Incarnation_ >= Agent.Incarnation_)
+      return false;
+    // The new incarnation owns the address, so the old one has ended by then.
+    remove(Map, {Present->Id_, Present->Incarnation_, Agent.Incarnation_}, Next,
+           NowMs);
+  }
+  Agent.JoinedEpoch_ = Next;
+  Agent.RemovedEpoch_ = 0;
+  Agent.RemovedAtMs_ = 0;
+  Agent.StoppedAtMs_ = 0;
+  Map.Agents_.push_back(std::move(Agent));
+  return true;
+}
+
+void dropExpired(AgentMap &Map, std::int64_t OldestMs) {
+  for (const MapAgent &Agent : Map.Agents_)
+    if (Agent.RemovedEpoch_ != 0 && Agent.RemovedAtMs_ < OldestMs)
+      Map.OldestEpoch_ = std::max(Map.OldestEpoch_, Agent.RemovedEpoch_);
+  std::erase_if(Map.Agents_, [&](const MapAgent &Agent) {
+    return Agent.RemovedEpoch_ != 0 && Agent.RemovedEpoch_ <= Map.OldestEpoch_;
+  });
+}
+
+} // namespace
+
+std::optional<AgentMap> applyChange(const AgentMap &Map,
+                                    const MapChange &Change, std::int64_t NowMs,
+                                    std::int64_t RetentionMs) {
+  AgentMap Result = Map;
+  const Epoch Next = Map.Epoch_ + 1;
+  bool Changed = false;
+  for (const MapChange::Removal &Removal : Change.Removals_)
+    Changed = remove(Result, Removal, Next, NowMs) || Changed;
+  for (const MapAgent &Agent : Change.Joins_)
+    Changed = join(Result, Agent, Next, NowMs) || Changed;
+  if (!Changed)
+    return std::nullopt;
+  dropExpired(Result, NowMs - RetentionMs);
+  Result.Epoch_ = Next;
+  return Result;
+}
+
+} // namespace wigeonwall::version
--- /dev/null
+++ b/tests/unit/agent_map_test.cpp
@@ -0,0 +1,133 @@
+/// \file
+/// \brief Guards the agreement on the holders of a job: the same map gives the
+/// same pair, earlier pairs are found, and departed agents are kept long
+/// enough.
+#include "wigeonwall/version/agent_map.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace wigeonwall::version;
+using wigeonwall::request::JobKey;
+
+namespace {
+
+constexpr std::int64_t RetentionMs = 600'000;
+
+MapAgent agent(const std::string &Id, const std::string &Domain,
+               std::int64_t Incarnation = 1) {
+  MapAgent Agent;
+  Agent.Id_ = Id;
+  Agent.FailureDomain_ = Domain;
+  Agent.Service_ = "permit-desk";
+  Agent.Incarnation_ = Incarnation;
+  return Agent;
+}
+
+AgentMap fourAgents() {
+  MapChange Change;
+  Change.Joins_ = {agent("a1", "midrand"), agent("a2", "midrand"),
+                   agent("a3", "joburg-north"), agent("a4", "joburg-south")};
+  return *applyChange(AgentMap{}, Change, 0, RetentionMs);
+}
+
+JobKey key(int Number) {
+  return {"permit-desk", "job-" + std::to_string(Number)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(copy_is_in_another_failure_domain) {
+  const AgentMap Map = fourAgents();
+  for (int I = 0; I < 200; ++I) {
+    const HolderPair Pair = Map.holders(key(I));
+    BOOST_REQUIRE(Pair.Home_ != nullptr);
+    BOOST_REQUIRE(Pair.Copy_ != nullptr);
+    BOOST_TEST(Pair.Home_->FailureDomain_ != Pair.Copy_->FailureDomain_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(jobs_spread_evenly_over_homes) {
+  const AgentMap Map = fourAgents();
+  std::map<std::string, int> Counts;
+  for (int I = 0; I < 4000; ++I)
+    ++Counts[Map.holders(key(I)).Home_->Id_];
+  for (const auto &[Id, Count] : Counts)
+    BOOST_TEST((Count > 850 && Count < 1150), Id << " has " << Count);
+}
+
+BOOST_AUTO_TEST_CASE(removal_moves_only_the_jobs_of_the_removed_home) {
+  const AgentMap Before = fourAgents();
+  MapChange Change;
+  Change.Removals_ = {{"a1", 1, 0}};
+  const AgentMap After = *applyChange(Before, Change, 1000, RetentionMs);
+  for (int I = 0; I < 500; ++I) {
+    const std::string Old = Before.holders(key(I)).Home_->Id_;
+    const std::string New = After.holders(key(I)).Home_->Id_;
+    BOOST_TEST((Old == "a1" || Old == New));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(earlier_pairs_are_found_from_the_current_map) {
+  const AgentMap Before = fourAgents();
+  MapChange Change;
+  Change.Removals_ = {{"a1", 1, 0}};
+  const AgentMap After = *applyChange(Before, Change, 1000, RetentionMs);
+  for (int I = 0; I < 200; ++I) {
+    const HolderPair Old = Before.holders(key(I));
+    const auto Earlier = After.earlierHolders(key(I));
+    const bool Moved = Old.Home_->Id_ == "a1" || Old.Copy_->Id_ == "a1";
+    BOOST_TEST(Earlier.size() == (Moved ? 1U : 0U));
+    if (Moved && !Earlier.empty())
+      BOOST_TEST(Earlier.front().Home_->Id_ == Old.Home_->Id_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(new_incarnation_replaces_the_old_and_stops_it) {
+  MapChange Change;
+  Change.Joins_ = {agent("a1", "midrand", 5000)};
+  const AgentMap Map = *applyChange(fourAgents(), Change, 6000, RetentionMs);
+  BOOST_TEST(Map.findPresent("a1")->Incarnation_ == 5000);
+  bool Found = false;
+  for (const MapAgent &Agent : Map.Agents_)
+    if (Agent.Id_ == "a1" && Agent.Incarnation_ == 1) {
+      Found = true;
+      BOOST_TEST(Agent.StoppedAtMs_ == 5000);
+    }
+  BOOST_TEST(Found);
+}
+
+BOOST_AUTO_TEST_CASE(an_old_incarnation_cannot_rejoin) {
+  MapChange Change;
+  Change.Joins_ = {agent("a1", "midrand", 5000)};
+  const AgentMap Map = *applyChange(fourAgents(), Change, 6000, RetentionMs);
+  Change.Joins_ = {agent("a1", "midrand", 1)};
+  BOOST_TEST(!applyChange(Map, Change, 7000, RetentionMs).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(departed_agents_are_dropped_after_the_retention) {
+  MapChange Change;
+  Change.Removals_ = {{"a1", 1, 0}};
+  const AgentMap Removed =
+      *applyChange(fourAgents(), Change, 1000, RetentionMs);
+  Change.Removals_ = {{"a2", 1, 0}};
+  const AgentMap Soon = *applyChange(Removed, Change, RetentionMs, RetentionMs);
+  BOOST_TEST(Soon.Agents_.size() == 4U);
+  const AgentMap Late =
+      *applyChange(Removed, Change, 1001 + RetentionMs, RetentionMs);
+  BOOST_TEST(Late.Agents_.size() == 3U);
+  BOOST_TEST(Late.OldestEpoch_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(map_survives_a_round_trip_and_refuses_bad_input) {
+  MapFault Why;
+  const AgentMap Map = fourAgents();
+  const auto Again = decodeMap(encodeMap(Map), Why);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Agents_.size() == 4U);
+  Json::Value Bad = encodeMap(Map);
+  Bad["agents"][1].removeMember("incarnation");
+  BOOST_TEST(!decodeMap(Bad, Why).has_value());
+  BOOST_TEST(Why.Position_ == "/agents/1/incarnation");
+}
--- /dev/null
+++ b/tests/unit/codec_test.cpp
@@ -0,0 +1,84 @@
+/// \file
+/// \brief Contract of the job codec: each malformed field is refused with its
+/// position, and a job survives a round trip.
+#include "wigeonwall/request/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall::request;
+
+namespace {
+
+Json::Value validJob() {
+  CodecFault Why;
+  return *parseJson(R"({"service":"permit-desk","job_id":"j-1",
+    "kind":"setback-check","team":"installers","created_at_ms":1,
+    "timeout_ms":1000,"tasks":[{"payload":{"work_ms":50}},
+    {"payload":{},"declared_run_ms":70}]})",
+                    Why);
+}
+
+struct FaultCase {
+  const char *Field_;
+  const char *Value_;
+  const char *Position_;
+};
+
+// Each row replaces one field of a valid job; "" removes it.
+const FaultCase FaultCases[] = {
+    {"service", "", "/service"},
+    {"service", "7", "/service"},
+    {"service", "\"\"", "/service"},
+    {"job_id", "\"a b\"", "/job_id"},
+    {"created_at_ms", "0", "/created_at_ms"},
+    {"created_at_ms", "1.5", "/created_at_ms"},
+    {"timeout_ms", "600001", "/timeout_ms"},
+    {"timeout_ms", "1e300", "/timeout_ms"},
+    {"non_idempotent", "1", "/non_idempotent"},
+    {"tasks", "[]", "/tasks"},
+    {"tasks", "{}", "/tasks"},
+    {"tasks", "[{\"payload\":1,\"declared_run_ms\":-1}]",
+     "/tasks/0/declared_run_ms"},
+    {"tasks", "[{\"payload\":1},{\"extra\":1}]", "/tasks/1/extra"},
+    {"tasks", "[7]", "/tasks/0"},
+    {"extra", "1", "/extra"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(every_bad_field_is_refused_with_its_position) {
+  for (const FaultCase &Case : FaultCases) {
+    Json::Value Job = validJob();
+    CodecFault Why;
+    Job.removeMember(Case.Field_);
+    if (*Case.Value_ != '\0')
+      Job[Case.Field_] = *parseJson(Case.Value_, Why);
+    BOOST_TEST_CONTEXT(Case.Field_ << " = " << Case.Value_) {
+      BOOST_TEST(!decodeJobSpec(Job, Why).has_value());
+      BOOST_TEST(Why.Position_ == Case.Position_);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(job_survives_a_round_trip) {
+  CodecFault Why;
+  const auto Spec = decodeJobSpec(validJob(), Why);
+  BOOST_REQUIRE(Spec.has_value());
+  const auto Again = decodeJobSpec(encodeJobSpec(*Spec), Why);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(fingerprint(*Spec) == fingerprint(*Again));
+  BOOST_TEST(Again->Tasks_.at(1).DeclaredRun_.count() == 70);
+}
+
+BOOST_AUTO_TEST_CASE(fingerprint_differs_when_content_differs) {
+  CodecFault Why;
+  Json::Value Other = validJob();
+  Other["tasks"][0]["payload"]["work_ms"] = 51;
+  BOOST_TEST(fingerprint(*decodeJobSpec(validJob(), Why)) !=
+             fingerprint(*decodeJobSpec(Other, Why)));
+}
+
+BOOST_AUTO_TEST_CASE(deep_nesting_is_refused_not_a_crash) {
+  CodecFault Why;
+  BOOST_TEST(!parseJson(std::string(100'000, '['), Why).has_value());
+}
