Run jobs through a home, a copy holder and the agents

Cause: nothing yet decides where a job runs, nor keeps it from starting twice. Change: job table, record copies with seals, and a start gate as pure modules; the home that settles, prepares and runs a job; the dispatcher that places tasks and repeats messages only to the same agent incarnation; the gateway in front of a minion; the entry and its HTTP interface. A refusal `not_run` leaves the home only after the copy holder recorded it; a job is settled again when the map changed before it was prepared. The start gate remembers the attempt that it refused: a late copy of a refused message on another connection could start a task that its home had placed elsewhere since.

--- /dev/null
+++ b/packages/process/include/wigeonwall/process/agent_context.h
@@ -0,0 +1,49 @@
+/// \file
+/// \brief What the parts of an agent share; all on its traffic thread.
+#ifndef WIGEONWALL_PROCESS_AGENT_CONTEXT_H
+#define WIGEONWALL_PROCESS_AGENT_CONTEXT_H
+
+#include "wigeonwall/process/cluster_view.h"
+#include "wigeonwall/process/counters.h"
+#include "wigeonwall/process/peer_call.h"
+#include "wigeonwall/request/record_copies.h"
+
+#include <memory>
+
+namespace wigeonwall::process {
+
+using ViewSource = std::function<std::shared_ptr<const ClusterView>()>;
+
+struct AgentContext {
+  request::HomeIdentity Self_;
+  request::Clock Now_;
+  WallClock WallMs_;
+  Schedule After_;
+  PeerCall Call_;
+  ViewSource View_;
+  Counters &Counters_;
+};
+
+/// \brief Time-out of a call between processes.
+inline constexpr std::chrono::milliseconds CallTimeout{1'000};
+
+/// \brief Record retention of the configuration in force.
+[[nodiscard]] request::Duration retention(const ClusterView &View);
+
+/// \brief Epoch of the map in force; 0 before one is known.
+[[nodiscard]] version::Epoch currentEpoch(const ClusterView &View);
+
+/// \brief Reads "service" and "job_id"; throws RpcFault.
+[[nodiscard]] request::JobKey readJobKey(const Json::Value &Value);
+void writeJobKey(Json::Value &Value, const request::JobKey &Key);
+
+[[nodiscard]] Json::Value encodeHome(const request::HomeIdentity &Home);
+[[nodiscard]] request::HomeIdentity decodeHome(const Json::Value &Value);
+
+/// \brief Reads a required unsigned integer; throws RpcFault with its field.
+[[nodiscard]] std::uint64_t readUnsigned(const Json::Value &Value,
+                                         const char *Field);
+
+} // namespace wigeonwall::process
+
+#endif
--- /dev/null
+++ b/packages/process/include/wigeonwall/process/entry.h
@@ -0,0 +1,98 @@
+/// \file
+/// \brief Entry: forwards jobs to their homes and returns the answers.
+#ifndef WIGEONWALL_PROCESS_ENTRY_H
+#define WIGEONWALL_PROCESS_ENTRY_H
+
+#include "wigeonwall/process/agent_context.h"
+#include "wigeonwall/request/types.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wigeonwall::process {
+
+/// \brief What a caller gets: an answer, or nothing while the job runs on.
+using AnswerCallback = std::function<void(std::optional<request::JobAnswer>)>;
+
+/// \brief State of a job that a caller asked about.
+enum class JobLookup : std::uint8_t { Unknown, Running, Final, Unreachable };
+using LookupCallback =
+    std::function<void(JobLookup, const request::JobAnswer &)>;
+
+/// \brief Why a submission was not taken; names no outcome.
+enum class EntryRefusal : std::uint8_t {
+  None,
+  NotReady,
+  Conflict,
+  TooManyJobs
+};
+
+/// \brief Holds the jobs that callers wait for; one traffic thread.
+///
+/// A job is submitted again to its home, or the home of a newer map, until an
+/// answer arrives; the home joins repeated submissions. Answers are matched by
+/// service and job id.
+class Entry {
+public:
+  /// \p Context.Self_.Address_ receives `job.finished`.
+  Entry(AgentContext Context, std::size_t MaxJobs);
+
+  /// \brief Takes a job; \p Done runs once, at the latest shortly after the
+  /// job's deadline, unless the result is a refusal.
+  [[nodiscard]] EntryRefusal submit(request::JobSpec Spec, AnswerCallback Done);
+
+  /// \brief Asks the home of a job without submitting it.
+  void lookup(const request::JobKey &Key, LookupCallback Done);
+  void cancel(const request::JobKey &Key, LookupCallback Done);
+
+  /// \brief Handles `job.finished`.
+  [[nodiscard]] Json::Value finished(const Json::Value &Params);
+
+  /// \brief Ends overdue jobs and asks again about silent ones; called often.
+  void tick();
+  [[nodiscard]] std::size_t unfinished() const noexcept {
+    return Pending_.size();
+  }
+
+private:
+  struct Pending {
+    request::JobSpec Spec_;
+    std::uint64_t Fingerprint_ = 0;
+    std::uint64_t Serial_ = 0;
+    std::vector<AnswerCallback> Waiting_;
+    request::TimePoint Deadline_;
+    request::TimePoint AskAgainAt_;
+    /// Since when the home has not answered; unset while it does.
+    std::optional<request::TimePoint> SilentSince_;
+    /// Address of the home when another process named it.
+    std::string MovedTo_;
+    bool Asking_ = false;
+  };
+
+  [[nodiscard]] Pending *find(const request::JobKey &Key, std::uint64_t Serial);
+  void ask(Pending &Job);
+  void onReply(Pending &Job, const connection::RpcResult &Result);
+  void onRefused(Pending &Job, request::Reason Why);
+  void askLater(Pending &Job, request::Duration Delay);
+  /// Asks the copy holder of a home that is gone while the map cannot change.
+  void settleThroughCopy(Pending &Job);
+  void onSealed(Pending &Job, const connection::RpcResult &Result);
+  void answer(Pending &Job, const request::JobAnswer &Answer);
+  void query(const std::string &Method, const request::JobKey &Key,
+             LookupCallback Done);
+
+  AgentContext Context_;
+  std::size_t MaxJobs_;
+  std::unordered_map<request::JobKey, std::unique_ptr<Pending>,
+                     request::JobKeyHash>
+      Pending_;
+  std::uint64_t NextSerial_ = 1;
+};
+
+} // namespace wigeonwall::process
+
+#endif
--- /dev/null
+++ b/packages/process/src/earlier_holders.cpp
@@ -0,0 +1,170 @@
+#include "wigeonwall/process/earlier_holders.h"
+
+#include "wigeonwall/request/codec.h"
+
+#include <algorithm>
+
+namespace wigeonwall::process {
+
+using request::HomeIdentity;
+using request::JobKey;
+using version::HolderPair;
+using version::MapAgent;
+
+namespace {
+
+/// Largest difference between two clocks of the platform or a caller's.
+constexpr std::int64_t ClockToleranceMs = 5'000;
+constexpr unsigned MaxAttempts = 2;
+constexpr std::chrono::milliseconds AttemptInterval{100};
+
+bool stoppedBefore(const MapAgent *Agent, std::int64_t CreatedAtMs) {
+  return Agent != nullptr && Agent->StoppedAtMs_ != 0 &&
+         CreatedAtMs > Agent->StoppedAtMs_ + ClockToleranceMs;
+}
+
+bool isAlive(const HomeIdentity &Home, const ClusterView &View) {
+  const Member *Found = View.findMember(Home.Id_);
+  return Found != nullptr && Found->Incarnation_ == Home.Incarnation_ &&
+         Found->State_ != MemberState::Dead &&
+         Found->State_ != MemberState::Left;
+}
+
+} // namespace
+
+struct EarlierHolders::Inquiry {
+  JobKey Key_;
+  SettlementCallback Done_;
+  std::vector<bool> Settled_;
+  /// Holders of each pair that have not answered or failed yet.
+  std::vector<unsigned> Outstanding_;
+  bool Finished_ = false;
+};
+
+EarlierHolders::EarlierHolders(AgentContext Context)
+    : Context_(std::move(Context)) {}
+
+bool EarlierHolders::isSelf(const MapAgent *Agent) const {
+  return Agent != nullptr && Agent->Id_ == Context_.Self_.Id_ &&
+         Agent->Incarnation_ == Context_.Self_.Incarnation_;
+}
+
+bool EarlierHolders::pairSettled(const HolderPair &Pair,
+                                 std::int64_t CreatedAtMs) const {
+  // This process has no record, which is as good as its own seal.
+  return isSelf(Pair.Home_) || isSelf(Pair.Copy_) ||
+         stoppedBefore(Pair.Home_, CreatedAtMs) ||
+         stoppedBefore(Pair.Copy_, CreatedAtMs);
+}
+
+std::vector<HolderPair>
+EarlierHolders::openPairs(const JobKey &Key, std::int64_t CreatedAtMs,
+                          const ClusterView &View) const {
+  const auto RetentionMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(retention(View));
+  const version::Epoch Oldest =
+      View.Map_->oldestEpochAt(Context_.WallMs_(), RetentionMs.count());
+  auto Pairs = View.Map_->earlierHolders(Key, Oldest);
+  std::erase_if(Pairs, [&](const HolderPair &Pair) {
+    return pairSettled(Pair, CreatedAtMs);
+  });
+  return Pairs;
+}
+
+bool EarlierHolders::settled(const JobKey &Key,
+                             std::int64_t CreatedAtMs) const {
+  return openPairs(Key, CreatedAtMs, *Context_.View_()).empty();
+}
+
+void EarlierHolders::settle(const JobKey &Key, std::int64_t CreatedAtMs,
+                            SettlementCallback Done) {
+  const auto View = Context_.View_();
+  auto State = std::make_shared<Inquiry>();
+  State->Key_ = Key;
+  State->Done_ = std::move(Done);
+  const auto Pairs = openPairs(Key, CreatedAtMs, *View);
+  State->Settled_.resize(Pairs.size());
+  State->Outstanding_.resize(Pairs.size());
+  for (std::size_t I = 0; I < Pairs.size(); ++I) {
+    State->Outstanding_[I] = Pairs[I].Copy_ != nullptr ? 2 : 1;
+    ask(State, I, *Pairs[I].Home_, 1);
+    if (Pairs[I].Copy_ != nullptr)
+      ask(State, I, *Pairs[I].Copy_, 1);
+  }
+  if (Pairs.empty())
+    Context_.After_(request::Duration::zero(),
+                    [this, State] { finish(State, {}); });
+}
+
+void EarlierHolders::ask(const std::shared_ptr<Inquiry> &State,
+                         std::size_t Pair, const MapAgent &Holder,
+                         unsigned Attempt) {
+  Json::Value Params;
+  writeJobKey(Params, State->Key_);
+  Params["epoch"] = Json::UInt64(currentEpoch(*Context_.View_()));
+  Params["to_incarnation"] = Json::Int64(Holder.Incarnation_);
+  Context_.Counters_.counter("record_seals_sent_total").fetch_add(1);
+  Context_.Call_(
+      Holder.TrafficAddress_, "record.seal", std::move(Params), CallTimeout,
+      [this, State, Pair, Holder,
+       Attempt](const connection::RpcResult &Result) {
+        if (Result.ok())
+          return onReply(State, Pair, Result.Value_);
+        // A refused call came from another incarnation at the address.
+        if (Result.Refused_ || Attempt >= MaxAttempts)
+          return onHolderFailed(State, Pair);
+        Context_.After_(AttemptInterval, [this, State, Pair, Holder, Attempt] {
+          ask(State, Pair, Holder, Attempt + 1);
+        });
+      });
+}
+
+void EarlierHolders::onReply(const std::shared_ptr<Inquiry> &State,
+                             std::size_t Pair, const Json::Value &Reply) {
+  if (State->Finished_)
+    return;
+  if (auto Known = readSealReply(Reply, *Context_.View_()))
+    return finish(State, std::move(*Known));
+  State->Settled_[Pair] = true;
+  if (std::all_of(State->Settled_.begin(), State->Settled_.end(),
+                  [](bool Each) { return Each; }))
+    finish(State, {});
+}
+
+void EarlierHolders::onHolderFailed(const std::shared_ptr<Inquiry> &State,
+                                    std::size_t Pair) {
+  if (State->Finished_)
+    return;
+  if (--State->Outstanding_[Pair] == 0 && !State->Settled_[Pair])
+    finish(State, {Settlement::Lost, {}, {}});
+}
+
+void EarlierHolders::finish(const std::shared_ptr<Inquiry> &State,
+                            SettlementResult Result) {
+  if (State->Finished_)
+    return;
+  State->Finished_ = true;
+  State->Done_(Result);
+}
+
+std::optional<SettlementResult> readSealReply(const Json::Value &Reply,
+                                              const ClusterView &View) {
+  const std::string State = Reply["state"].asString();
+  if (State == "sealed")
+    return std::nullopt;
+  SettlementResult Result;
+  Result.Kind_ = Settlement::Lost;
+  request::CodecFault Why;
+  if (State == "final" && Reply.isMember("answer"))
+    if (auto Answer = request::decodeAnswer(Reply["answer"], Why)) {
+      Result.Kind_ = Settlement::Answered;
+      Result.Answer_ = std::move(*Answer);
+      return Result;
+    }
+  Result.Home_ = decodeHome(Reply["home"]);
+  if (isAlive(Result.Home_, View))
+    Result.Kind_ = Settlement::Moved;
+  return Result;
+}
+
+} // namespace wigeonwall::process
--- /dev/null
+++ b/packages/process/src/home.cpp
@@ -0,0 +1,466 @@
+#include "wigeonwall/process/home.h"
+
+#include "wigeonwall/request/codec.h"
+
+namespace wigeonwall::process {
+
+using request::JobAnswer;
+using request::JobKey;
+using request::JobRecord;
+using request::JobSpec;
+using request::JobState;
+using request::Outcome;
+using request::PrepareResult;
+using request::Reason;
+
+namespace {
+
+constexpr std::chrono::milliseconds PrepareAgainDelay{100};
+constexpr std::chrono::milliseconds DeliverAgainDelay{200};
+constexpr unsigned MaxDeliveries = 3;
+/// A larger answer is kept by the home only, to bound the traffic of copies.
+constexpr std::size_t MaxCopiedAnswerBytes = 64 * 1024;
+/// Requests older than the retention less this may have lost their record.
+constexpr std::chrono::seconds RetentionMargin{60};
+
+JobAnswer negative(Outcome Kind, Reason Why, std::string Detail) {
+  JobAnswer Answer;
+  Answer.Outcome_ = Kind;
+  Answer.Reason_ = Why;
+  Answer.Detail_ = std::move(Detail);
+  return Answer;
+}
+
+Json::Value stateOnly(const char *State) {
+  Json::Value Reply;
+  Reply["state"] = State;
+  return Reply;
+}
+
+Json::Value refused(Reason Why) {
+  Json::Value Reply = stateOnly("refused");
+  Reply["reason"] = std::string(request::findName(request::ReasonNames, Why));
+  return Reply;
+}
+
+Json::Value finalState(const JobAnswer &Answer) {
+  Json::Value Reply = stateOnly("final");
+  Reply["answer"] = request::encodeAnswer(Answer);
+  return Reply;
+}
+
+Json::Value describeCopy(const request::RecordCopy &Copy) {
+  Json::Value Reply = stateOnly(Copy.Final_ ? "final" : "active");
+  Reply["home"] = encodeHome(Copy.Home_);
+  if (Copy.Answer_)
+    Reply["answer"] = request::encodeAnswer(*Copy.Answer_);
+  return Reply;
+}
+
+bool sameHolder(const version::MapAgent *Agent,
+                const request::HomeIdentity &Self) {
+  return Agent != nullptr && Agent->Id_ == Self.Id_ &&
+         Agent->Incarnation_ == Self.Incarnation_;
+}
+
+} // namespace
+
+Home::Home(AgentContext Context, PlacementHooks Placement,
+           AdmissionHooks Admission)
+    : Context_(std::move(Context)), Jobs_(Context_.Now_),
+      Copies_(Context_.Now_), Admission_(std::move(Admission)),
+      Earlier_(Context_),
+      Dispatcher_(Context_, Jobs_, std::move(Placement),
+                  [this](JobRecord &Record, JobAnswer Answer) {
+                    end(Record, std::move(Answer));
+                  }),
+      Prepares_(
+          Context_.Call_, Context_.After_, "record.prepare",
+          [this] {
+            Json::Value Header;
+            Header["home"] = encodeHome(Context_.Self_);
+            return Header;
+          },
+          nullptr, CallTimeout),
+      Finishes_(
+          Context_.Call_, Context_.After_, "record.finish",
+          [this] {
+            Json::Value Header;
+            Header["home"] = encodeHome(Context_.Self_);
+            return Header;
+          },
+          nullptr, CallTimeout) {}
+
+version::HolderPair
+Home::currentPair(const JobKey &Key,
+                  std::shared_ptr<const ClusterView> &View) const {
+  View = Context_.View_();
+  return View->Map_->holders(Key);
+}
+
+// Submission ----------------------------------------------------------------
+
+Json::Value Home::submit(const Json::Value &Params) {
+  request::CodecFault Why;
+  auto Spec = request::decodeJobSpec(Params["job"], Why);
+  if (!Spec)
+    throw connection::RpcFault{"/job" + Why.Position_ + ": " + Why.Message_};
+  const std::uint64_t Epoch = readUnsigned(Params, "epoch");
+  const std::string ReplyTo = Params["reply_to"].asString();
+  // A known job is joined under any epoch.
+  if (JobRecord *Record = Jobs_.find(Spec->Key_)) {
+    if (Record->Fingerprint_ != request::fingerprint(*Spec))
+      return refused(Reason::Conflict);
+    if (Record->State_ != JobState::Final)
+      Record->ReplyTo_.insert(ReplyTo);
+    return describe(*Record);
+  }
+  if (!Context_.View_()->ready())
+    return refused(Reason::NotReady);
+  const std::uint64_t Own = currentEpoch(*Context_.View_());
+  if (Epoch < Own)
+    return refused(Reason::StaleEpoch);
+  if (Epoch > Own || Leaving_ || Copies_.sealedBelow(Spec->Key_) > Own)
+    return refused(Reason::Retry);
+  std::shared_ptr<const ClusterView> View;
+  if (!sameHolder(currentPair(Spec->Key_, View).Home_, Context_.Self_))
+    return refused(Reason::Retry);
+  return accept(std::move(*Spec), ReplyTo);
+}
+
+Json::Value Home::accept(JobSpec Spec, const std::string &ReplyTo) {
+  // This process may hold the copy of a record whose home is gone.
+  if (const request::RecordCopy *Copy = Copies_.find(Spec.Key_)) {
+    if (Copy->Fingerprint_ != request::fingerprint(Spec))
+      return refused(Reason::Conflict);
+  }
+  const std::uint64_t Fingerprint = request::fingerprint(Spec);
+  JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
+  Record.ReplyTo_.insert(ReplyTo);
+  Context_.Counters_.counter("jobs_accepted_total").fetch_add(1);
+  settle(Record);
+  return describe(Record);
+}
+
+Json::Value Home::describe(const JobRecord &Record) const {
+  if (Record.State_ == JobState::Final)
+    return finalState(Record.Answer_);
+  return stateOnly("pending");
+}
+
+void Home::later(const JobRecord &Record, request::Duration Delay,
+                 void (Home::*Task)(JobRecord &)) {
+  Context_.After_(
+      Delay, [this, Key = Record.Spec_.Key_, Serial = Record.Serial_, Task] {
+        JobRecord *Current = Jobs_.find(Key, Serial);
+        if (Current != nullptr && Current->State_ != JobState::Final)
+          (this->*Task)(*Current);
+      });
+}
+
+// Settling ------------------------------------------------------------------
+
+void Home::settle(JobRecord &Record) {
+  const JobKey &Key = Record.Spec_.Key_;
+  Record.State_ = JobState::Settling;
+  Record.SettledEpoch_ = currentEpoch(*Context_.View_());
+  if (const request::RecordCopy *Copy = Copies_.find(Key)) {
+    return onSettled(Record,
+                     *readSealReply(describeCopy(*Copy), *Context_.View_()));
+  }
+  if (Earlier_.settled(Key, Record.Spec_.CreatedAtMs_))
+    return decide(Record);
+  Earlier_.settle(
+      Key, Record.Spec_.CreatedAtMs_,
+      [this, Key, Serial = Record.Serial_](const SettlementResult &Result) {
+        JobRecord *Current = Jobs_.find(Key, Serial);
+        if (Current != nullptr && Current->State_ == JobState::Settling)
+          onSettled(*Current, Result);
+      });
+}
+
+void Home::onSettled(JobRecord &Record, const SettlementResult &Result) {
+  switch (Result.Kind_) {
+  case Settlement::Unknown:
+    return decide(Record);
+  case Settlement::Answered:
+    return end(Record, Result.Answer_);
+  case Settlement::Moved: {
+    Json::Value Message = stateOnly("moved");
+    Message["address"] = Result.Home_.Address_;
+    return sendAway(Record, std::move(Message));
+  }
+  case Settlement::Lost:
+    return end(Record, negative(Outcome::Failed, Reason::OutcomeUnknown,
+                                "the process that ran the job was lost"));
+  }
+}
+
+// Admission and the copy ----------------------------------------------------
+
+std::optional<JobAnswer> Home::checkAge(const JobSpec &Spec) const {
+  const auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+      retention(*Context_.View_()) - RetentionMargin);
+  if (Context_.WallMs_() - Spec.CreatedAtMs_ <= Limit.count())
+    return std::nullopt;
+  return negative(Outcome::Failed, Reason::Expired,
+                  "the job is older than the retention of records");
+}
+
+std::optional<JobAnswer> Home::checkAgainstConfig(const JobSpec &Spec) const {
+  const auto View = Context_.View_();
+  const auto *Service = View->Config_->findService(Spec.Key_.Service_);
+  if (Service == nullptr)
+    return negative(Outcome::NotRun, Reason::UnknownService,
+                    "no service " + Spec.Key_.Service_);
+  const auto *Kind = Service->findKind(Spec.Kind_);
+  if (Kind == nullptr)
+    return negative(Outcome::NotRun, Reason::UnknownKind,
+                    "no kind " + Spec.Kind_);
+  const auto *Team = View->Config_->findTeam(Spec.Team_);
+  if (Team == nullptr)
+    return negative(Outcome::NotRun, Reason::UnknownTeam,
+                    "no team " + Spec.Team_);
+  if (Kind->QueueLimit_ == 0 || Team->MaxTasksInFlight_ == 0)
+    return negative(Outcome::NotRun, Reason::LimitIsZero,
+                    "the kind or the team is closed");
+  if (Spec.Tasks_.size() > Kind->MaxTasksPerJob_)
+    return negative(Outcome::NotRun, Reason::TooManyTasks,
+                    "the kind allows " + std::to_string(Kind->MaxTasksPerJob_) +
+                        " tasks");
+  return std::nullopt;
+}
+
+void Home::decide(JobRecord &Record) {
+  if (auto Old = checkAge(Record.Spec_))
+    return end(Record, std::move(*Old));
+  Record.State_ = JobState::Preparing;
+  if (!Record.Refusal_ && !Record.Admitted_)
+    admit(Record);
+  prepareCopy(Record);
+}
+
+void Home::admit(JobRecord &Record) {
+  Record.Refusal_ = checkAgainstConfig(Record.Spec_);
+  if (!Record.Refusal_) {
+    const Reason Why = Admission_.Admit_(Record.Spec_);
+    Record.Admitted_ = Why == Reason::None;
+    if (!Record.Admitted_)
+      Record.Refusal_ = negative(Outcome::NotRun, Why, "refused by admission");
+  }
+}
+
+void Home::prepareCopy(JobRecord &Record) {
+  std::shared_ptr<const ClusterView> View;
+  const version::HolderPair Pair = currentPair(Record.Spec_.Key_, View);
+  // Only the home of the epoch in force may ask for a copy.
+  if (!sameHolder(Pair.Home_, Context_.Self_))
+    return sendAway(Record, stateOnly("retry"));
+  // Another home may have run the job under an epoch in between.
+  if (Record.SettledEpoch_ != View->Map_->Epoch_)
+    return settle(Record);
+  if (Pair.Copy_ == nullptr)
+    return run(Record);
+  Json::Value Item;
+  writeJobKey(Item, Record.Spec_.Key_);
+  Item["fingerprint"] = Json::UInt64(Record.Fingerprint_);
+  Item["epoch"] = Json::UInt64(View->Map_->Epoch_);
+  if (Record.Refusal_)
+    Item["answer"] = request::encodeAnswer(*Record.Refusal_);
+  Record.CopyAddress_ = Pair.Copy_->TrafficAddress_;
+  Prepares_.add(Record.CopyAddress_, std::move(Item),
+                [this, Key = Record.Spec_.Key_,
+                 Serial = Record.Serial_](const ItemReply &Reply) {
+                  JobRecord *Current = Jobs_.find(Key, Serial);
+                  if (Current != nullptr &&
+                      Current->State_ == JobState::Preparing)
+                    onPrepared(*Current, Reply);
+                });
+}
+
+void Home::onPrepared(JobRecord &Record, const ItemReply &Reply) {
+  // Without the copy holder's word another home may run the job, so the home
+  // neither runs nor refuses it, and tries until the deadline or a new map.
+  if (!Reply.ok())
+    return later(Record, PrepareAgainDelay, &Home::prepareCopy);
+  const auto Result = request::findValue(request::PrepareResultNames,
+                                         Reply.Value_["state"].asString());
+  switch (Result.value_or(PrepareResult::Retry)) {
+  case PrepareResult::Ok:
+    return run(Record);
+  case PrepareResult::Stale:
+  case PrepareResult::Retry:
+    return later(Record, PrepareAgainDelay, &Home::prepareCopy);
+  case PrepareResult::Known:
+    return onSettled(Record,
+                     *readSealReply(Reply.Value_["copy"], *Context_.View_()));
+  }
+}
+
+void Home::run(JobRecord &Record) {
+  if (Record.Refusal_)
+    return end(Record, *Record.Refusal_);
+  Record.State_ = JobState::Running;
+  Dispatcher_.start(Record);
+}
+
+// End -----------------------------------------------------------------------
+
+void Home::end(JobRecord &Record, JobAnswer Answer) {
+  if (Record.State_ == JobState::Final)
+    return;
+  if (Answer.Outcome_ != Outcome::Complete)
+    Dispatcher_.cancel(Record);
+  if (Record.Admitted_)
+    Admission_.Release_(Record.Spec_);
+  const bool Recorded = Record.Refusal_.has_value();
+  Context_.Counters_
+      .counter("jobs_ended_total", "outcome",
+               std::string(
+                   request::findName(request::OutcomeNames, Answer.Outcome_)))
+      .fetch_add(1);
+  if (Answer.Outcome_ != Outcome::Complete)
+    Context_.Counters_
+        .counter("jobs_negative_total", "reason",
+                 std::string(
+                     request::findName(request::ReasonNames, Answer.Reason_)))
+        .fetch_add(1);
+  Jobs_.finalize(Record, std::move(Answer), retention(*Context_.View_()));
+  notify(Record, finalState(Record.Answer_));
+  Record.ReplyTo_.clear();
+  if (!Recorded && !Record.CopyAddress_.empty())
+    finishCopy(Record);
+}
+
+void Home::finishCopy(const JobRecord &Record) {
+  Json::Value Item;
+  writeJobKey(Item, Record.Spec_.Key_);
+  Json::Value Answer = request::encodeAnswer(Record.Answer_);
+  if (request::writeJson(Answer).size() <= MaxCopiedAnswerBytes)
+    Item["answer"] = std::move(Answer);
+  Finishes_.add(Record.CopyAddress_, std::move(Item), [](const ItemReply &) {});
+}
+
+void Home::notify(const JobRecord &Record, const Json::Value &Message) {
+  Json::Value Params = Message;
+  writeJobKey(Params, Record.Spec_.Key_);
+  for (const std::string &Entry : Record.ReplyTo_)
+    deliver(Entry, Params, 1);
+}
+
+void Home::deliver(const std::string &Entry, const Json::Value &Message,
+                   unsigned Attempt) {
+  Context_.Call_(
+      Entry, "job.finished", Message, CallTimeout,
+      [this, Entry, Message, Attempt](const connection::RpcResult &Result) {
+        // An entry that still waits asks again by itself.
+        if (Result.ok() || Attempt >= MaxDeliveries)
+          return;
+        Context_.After_(DeliverAgainDelay, [this, Entry, Message, Attempt] {
+          deliver(Entry, Message, Attempt + 1);
+        });
+      });
+}
+
+void Home::sendAway(JobRecord &Record, Json::Value Message) {
+  notify(Record, Message);
+  if (Record.Admitted_)
+    Admission_.Release_(Record.Spec_);
+  const JobKey Key = Record.Spec_.Key_;
+  Jobs_.erase(Key);
+}
+
+void Home::tick() {
+  for (const JobKey &Key : Jobs_.takeOverdue())
+    if (JobRecord *Record = Jobs_.find(Key))
+      end(*Record, negative(Outcome::Failed, Reason::DeadlineExceeded,
+                            "the job did not end before its deadline"));
+  Jobs_.dropExpired();
+  Copies_.dropExpired();
+}
+
+void Home::onViewChange() { Dispatcher_.onViewChange(*Context_.View_()); }
+
+// Other messages ------------------------------------------------------------
+
+Json::Value Home::status(const Json::Value &Params) {
+  const JobRecord *Record = Jobs_.find(readJobKey(Params));
+  return Record == nullptr ? stateOnly("unknown") : describe(*Record);
+}
+
+Json::Value Home::cancel(const Json::Value &Params) {
+  JobRecord *Record = Jobs_.find(readJobKey(Params));
+  if (Record == nullptr)
+    return stateOnly("unknown");
+  if (Record->State_ != JobState::Final)
+    end(*Record, negative(Outcome::Failed, Reason::Cancelled,
+                          "cancelled by the caller"));
+  return describe(*Record);
+}
+
+Json::Value Home::results(const Json::Value &Params) {
+  return Dispatcher_.onResults(Params);
+}
+
+Json::Value Home::prepare(const Json::Value &Params) {
+  const request::HomeIdentity From = decodeHome(Params["home"]);
+  const auto View = Context_.View_();
+  return handleItems(Params, [&](const Json::Value &Item) {
+    const JobKey Key = readJobKey(Item);
+    const PrepareResult Result = Copies_.prepare(
+        Key, readUnsigned(Item, "fingerprint"), From,
+        readUnsigned(Item, "epoch"), currentEpoch(*View), retention(*View));
+    request::CodecFault Why;
+    if (Result == PrepareResult::Ok && Item.isMember("answer"))
+      Copies_.finish(Key, From, request::decodeAnswer(Item["answer"], Why),
+                     retention(*View));
+    Json::Value Reply = stateOnly(
+        std::string(request::findName(request::PrepareResultNames, Result))
+            .c_str());
+    if (Result == PrepareResult::Known)
+      Reply["copy"] = describeCopy(*Copies_.find(Key));
+    return Reply;
+  });
+}
+
+Json::Value Home::finish(const Json::Value &Params) {
+  const request::HomeIdentity From = decodeHome(Params["home"]);
+  const auto View = Context_.View_();
+  return handleItems(Params, [&](const Json::Value &Item) {
+    request::CodecFault Why;
+    std::optional<JobAnswer> Answer;
+    if (Item.isMember("answer"))
+      Answer = request::decodeAnswer(Item["answer"], Why);
+    Copies_.finish(readJobKey(Item), From, std::move(Answer), retention(*View));
+    return Json::Value(Json::objectValue);
+  });
+}
+
+Json::Value Home::seal(const Json::Value &Params) {
+  const JobKey Key = readJobKey(Params);
+  const std::uint64_t Epoch = readUnsigned(Params, "epoch");
+  if (static_cast<std::int64_t>(readUnsigned(Params, "to_incarnation")) !=
+      Context_.Self_.Incarnation_)
+    throw connection::RpcFault{"/to_incarnation: not this process"};
+  if (const JobRecord *Record = Jobs_.find(Key)) {
+    Json::Value Reply = describe(*Record);
+    if (Record->State_ != JobState::Final)
+      Reply["state"] = "active";
+    Reply["home"] = encodeHome(Context_.Self_);
+    return Reply;
+  }
+  if (const request::RecordCopy *Copy = Copies_.find(Key))
+    return describeCopy(*Copy);
+  const request::Duration Retention = retention(*Context_.View_());
+  request::CodecFault Why;
+  if (Params.isMember("refusal"))
+    if (auto Refusal = request::decodeAnswer(Params["refusal"], Why)) {
+      Copies_.refuse(Key, readUnsigned(Params, "fingerprint"), Context_.Self_,
+                     std::move(*Refusal), Retention);
+      return describeCopy(*Copies_.find(Key));
+    }
+  Copies_.seal(Key, Epoch, Retention);
+  return stateOnly("sealed");
+}
+
+} // namespace wigeonwall::process
--- /dev/null
+++ b/packages/process/src/minion_gateway.cpp
@@ -0,0 +1,319 @@
+#include "wigeonwall/process/minion_gateway.h"
+
+#include "wigeonwall/request/codec.h"
+
+#include <algorithm>
+
+namespace wigeonwall::process {
+
+using request::GateResult;
+using request::JobKey;
+using request::Reason;
+using request::TaskIndex;
+using request::TaskResult;
+
+namespace {
+
+/// Longer than any record of a home, so that no late message finds the gate
+/// without its entry.
+constexpr std::chrono::seconds GateRetention{1'800};
+constexpr std::chrono::milliseconds DeliverAgainDelay{200};
+
+Json::Value queued() {
+  Json::Value Reply;
+  Reply["state"] = "queued";
+  return Reply;
+}
+
+Json::Value refused(Reason Why) {
+  Json::Value Reply;
+  Reply["state"] = "refused";
+  Reply["reason"] = std::string(request::findName(request::ReasonNames, Why));
+  return Reply;
+}
+
+TaskResult notStarted(TaskIndex Task, Reason Why) {
+  TaskResult Result;
+  Result.Index_ = Task;
+  Result.Reason_ = Why;
+  Result.Started_ = false;
+  return Result;
+}
+
+} // namespace
+
+MinionGateway::MinionGateway(AgentContext Context, QueueHooks Queue,
+                             MinionCall Call)
+    : Context_(std::move(Context)), Queue_(std::move(Queue)),
+      Call_(std::move(Call)), Gate_(Context_.Now_, GateRetention),
+      Results_(
+          Context_.Call_, Context_.After_, "task.results",
+          [this] {
+            Json::Value Header;
+            Header["agent"] = Context_.Self_.Id_;
+            Header["incarnation"] = Json::Int64(Context_.Self_.Incarnation_);
+            Header["load"] = request::encodeLoad(Queue_.Load_());
+            return Header;
+          },
+          nullptr, CallTimeout) {}
+
+Json::Value MinionGateway::start(const Json::Value &Params) {
+  const request::HomeIdentity Home = decodeHome(Params["home"]);
+  const std::uint64_t Epoch = readUnsigned(Params, "epoch");
+  Json::Value Reply = handleItems(Params, [&](const Json::Value &Item) {
+    return admit(Item, Home, Epoch);
+  });
+  startNext();
+  Reply["agent"] = Context_.Self_.Id_;
+  Reply["load"] = request::encodeLoad(Queue_.Load_());
+  return Reply;
+}
+
+Json::Value MinionGateway::admit(const Json::Value &Item,
+                                 const request::HomeIdentity &Home,
+                                 std::uint64_t Epoch) {
+  GatewayTask Task;
+  Task.Job_ = readJobKey(Item);
+  Task.Task_ = static_cast<TaskIndex>(readUnsigned(Item, "task"));
+  Task.Attempt_ = static_cast<std::uint32_t>(readUnsigned(Item, "attempt"));
+  if (static_cast<std::int64_t>(readUnsigned(Item, "to_incarnation")) !=
+      Context_.Self_.Incarnation_) {
+    Json::Value Reply;
+    Reply["state"] = "other_incarnation";
+    return Reply;
+  }
+  Task.Kind_ = Item["kind"].asString();
+  Task.Home_ = Home;
+  Task.Deadline_ = Context_.Now_() +
+                   std::chrono::milliseconds(readUnsigned(Item, "timeout_ms"));
+  Task.DeclaredRun_ =
+      std::chrono::milliseconds(Item.get("declared_run_ms", 0).asInt64());
+  Task.NonIdempotent_ = Item.get("non_idempotent", false).asBool();
+  Task.Payload_ = Item["payload"];
+  switch (Gate_.admit(Task.Job_, Task.Task_,
+                      {Home.Id_, Home.Incarnation_, Epoch, Task.Attempt_})) {
+  case GateResult::Repeat:
+    return queued();
+  case GateResult::Refused:
+    return refused(Reason::Retry);
+  case GateResult::Duplicate:
+    Context_.Counters_.counter("duplicate_starts_refused_total").fetch_add(1);
+    return refused(Reason::Duplicate);
+  case GateResult::StaleEpoch:
+    return refused(Reason::StaleEpoch);
+  case GateResult::Admit:
+    break;
+  }
+  const std::uint64_t Ticket = NextTicket_++;
+  const Reason Why = Leaving_ ? Reason::Draining : Queue_.Push_(Ticket, Task);
+  if (Why != Reason::None) {
+    Gate_.refuse(Task.Job_, Task.Task_);
+    return refused(Why);
+  }
+  Queued_.emplace(Ticket, std::move(Task));
+  return queued();
+}
+
+void MinionGateway::startNext() {
+  while (const auto Ticket = Queue_.Pop_())
+    run(*Ticket);
+}
+
+void MinionGateway::run(std::uint64_t Ticket) {
+  auto Node = Queued_.extract(Ticket);
+  const GatewayTask &Task = Node.mapped();
+  const request::TimePoint Now = Context_.Now_();
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Task.Deadline_ - Now);
+  Running_.insert(std::move(Node));
+  Context_.Counters_.counter("task_starts_total").fetch_add(1);
+  Call_(Task, std::max(Left, std::chrono::milliseconds(1)),
+        [this, Ticket, Now](TaskResult Result) {
+          finish(Ticket, Now, std::move(Result));
+        });
+}
+
+void MinionGateway::finish(std::uint64_t Ticket, request::TimePoint StartedAt,
+                           TaskResult Result) {
+  const auto Node = Running_.extract(Ticket);
+  const GatewayTask &Task = Node.mapped();
+  Result.Index_ = Task.Task_;
+  if (!Result.Started_)
+    Gate_.refuse(Task.Job_, Task.Task_);
+  Queue_.Finish_(Task, Context_.Now_() - StartedAt, Result);
+  startNext();
+  report(Task, Result);
+}
+
+void MinionGateway::handBack(std::uint64_t Ticket, Reason Why) {
+  const auto Node = Queued_.extract(Ticket);
+  const GatewayTask &Task = Node.mapped();
+  Queue_.Remove_(Ticket);
+  Gate_.refuse(Task.Job_, Task.Task_);
+  report(Task, notStarted(Task.Task_, Why));
+}
+
+void MinionGateway::report(const GatewayTask &Task, const TaskResult &Result) {
+  Json::Value Item;
+  writeJobKey(Item, Task.Job_);
+  Item["attempt"] = Task.Attempt_;
+  Item["result"] = request::encodeTaskResult(Result);
+  ++Undelivered_;
+  deliver(Task.Home_, Item);
+}
+
+void MinionGateway::deliver(const request::HomeIdentity &Home,
+                            const Json::Value &Item) {
+  Results_.add(Home.Address_, Item, [this, Home, Item](const ItemReply &Reply) {
+    const Member *Found = Context_.View_()->findMember(Home.Id_);
+    const bool HomeGone = Found == nullptr ||
+                          Found->Incarnation_ != Home.Incarnation_ ||
+                          Found->State_ == MemberState::Dead ||
+                          Found->State_ == MemberState::Left;
+    // A malformed-message error would repeat for ever.
+    if (Reply.ok() || Reply.Refused_ || HomeGone) {
+      --Undelivered_;
+      return;
+    }
+    Context_.After_(DeliverAgainDelay,
+                    [this, Home, Item] { deliver(Home, Item); });
+  });
+}
+
+Json::Value MinionGateway::cancel(const Json::Value &Params) {
+  return handleItems(Params, [this](const Json::Value &Item) {
+    const JobKey Job = readJobKey(Item);
+    std::vector<std::uint64_t> Tickets;
+    for (const auto &[Ticket, Task] : Queued_)
+      if (Task.Job_ == Job)
+        Tickets.push_back(Ticket);
+    for (const std::uint64_t Ticket : Tickets) {
+      Queue_.Remove_(Ticket);
+      Gate_.refuse(Job, Queued_.at(Ticket).Task_);
+      Queued_.erase(Ticket);
+    }
+    Json::Value Reply;
+    Reply["removed"] = Json::UInt64(Tickets.size());
+    return Reply;
+  });
+}
+
+void MinionGateway::beginLeaving() {
+  Leaving_ = true;
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Task] : Queued_)
+    Tickets.push_back(Ticket);
+  for (const std::uint64_t Ticket : Tickets)
+    handBack(Ticket, Reason::Draining);
+}
+
+void MinionGateway::tick() {
+  const request::TimePoint Now = Context_.Now_();
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Ticket, Task] : Queued_)
+    if (Task.Deadline_ <= Now)
+      Expired.push_back(Ticket);
+  for (const std::uint64_t Ticket : Expired)
+    handBack(Ticket, Reason::DeadlineExceeded);
+}
+
+void MinionGateway::onViewChange() {
+  Gate_.raiseEpoch(currentEpoch(*Context_.View_()));
+}
+
+bool MinionGateway::idle() const noexcept {
+  return Queued_.empty() && Running_.empty() && Undelivered_ == 0;
+}
+
+namespace {
+
+TaskResult readMinionReply(const connection::HttpResult &Reply) {
+  TaskResult Result;
+  if (Reply.Error_ == connection::TransportError::NotSent)
+    return notStarted(0, Reason::NoMinion);
+  if (Reply.Error_ == connection::TransportError::Ambiguous) {
+    Result.Reason_ = Reason::OutcomeUnknown;
+    Result.Body_ = "no reply from the minion: " + Reply.Detail_;
+    return Result;
+  }
+  const connection::HttpResponse &Response = Reply.Response_;
+  if (Response.Status_ == 503 &&
+      connection::findHeader(Response.Headers_, "x-not-started") == "1")
+    return notStarted(0, Reason::QueueFull);
+  if (Response.Status_ != 200) {
+    Result.Reason_ = Reason::TaskFailed;
+    Result.Body_ = "the minion answered " + std::to_string(Response.Status_);
+    return Result;
+  }
+  request::CodecFault Why;
+  if (auto Body = request::parseJson(Response.Body_, Why)) {
+    Result.Body_ = std::move(*Body);
+    return Result;
+  }
+  Result.Reason_ = Reason::TaskFailed;
+  Result.Body_ = "the minion's result is not JSON";
+  return Result;
+}
+
+} // namespace
+
+MinionCall makeHttpMinionCall(std::shared_ptr<connection::HttpClient> Client,
+                              connection::Endpoint Minion) {
+  return [Client = std::move(Client), Minion = std::move(Minion)](
+             const GatewayTask &Task, std::chrono::milliseconds Timeout,
+             std::function<void(TaskResult)> Done) {
+    Json::Value Body;
+    writeJobKey(Body, Task.Job_);
+    Body["task"] = Task.Task_;
+    Body["kind"] = Task.Kind_;
+    Body["non_idempotent"] = Task.NonIdempotent_;
+    Body["payload"] = Task.Payload_;
+    connection::HttpRequest Request{
+        "POST",
+        "/run",
+        {{"X-Job-Id", Task.Job_.Id_},
+         {"X-Task-Index", std::to_string(Task.Task_)},
+         {"Content-Type", "application/json"}},
+        request::writeJson(Body)};
+    Client->send(Minion, std::move(Request), Timeout,
+                 [Done = std::move(Done)](const connection::HttpResult &Reply) {
+                   Done(readMinionReply(Reply));
+                 });
+  };
+}
+
+QueueHooks makeFifoQueue(unsigned Slots, std::size_t QueueLimit) {
+  struct State {
+    std::deque<std::uint64_t> Order_;
+    unsigned Running_ = 0;
+  };
+  auto Queue = std::make_shared<State>();
+  QueueHooks Hooks;
+  Hooks.Push_ = [Queue, QueueLimit](std::uint64_t Ticket, const GatewayTask &) {
+    if (Queue->Order_.size() >= QueueLimit)
+      return Reason::QueueFull;
+    Queue->Order_.push_back(Ticket);
+    return Reason::None;
+  };
+  Hooks.Pop_ = [Queue, Slots]() -> std::optional<std::uint64_t> {
+    if (Queue->Running_ >= Slots || Queue->Order_.empty())
+      return std::nullopt;
+    const std::uint64_t Ticket = Queue->Order_.front();
+    Queue->Order_.pop_front();
+    ++Queue->Running_;
+    return Ticket;
+  };
+  Hooks.Finish_ = [Queue](const GatewayTask &, request::Duration,
+                          const TaskResult &) { --Queue->Running_; };
+  Hooks.Remove_ = [Queue](std::uint64_t Ticket) {
+    std::erase(Queue->Order_, Ticket);
+  };
+  Hooks.Load_ = [Queue, Slots] {
+    return request::AgentLoad{Queue->Running_,
+                              static_cast<std::uint32_t>(Queue->Order_.size()),
+                              Slots};
+  };
+  return Hooks;
+}
+
+} // namespace wigeonwall::process
--- /dev/null
+++ b/packages/request/src/start_gate.cpp
@@ -0,0 +1,60 @@
+#include "wigeonwall/request/start_gate.h"
+
+#include <algorithm>
+
+namespace wigeonwall::request {
+
+StartGate::StartGate(Clock Now, Duration Retention)
+    : Now_(std::move(Now)), Retention_(Retention) {}
+
+namespace {
+
+bool sameHome(const StartSender &A, const StartSender &B) {
+  return A.Home_ == B.Home_ && A.Incarnation_ == B.Incarnation_;
+}
+
+} // namespace
+
+GateResult StartGate::admit(const JobKey &Job, TaskIndex Task,
+                            const StartSender &From) {
+  dropExpired();
+  const TaskKey Key{Job, Task};
+  const auto Found = Tasks_.find(Key);
+  if (Found != Tasks_.end()) {
+    const Entry &Seen = Found->second;
+    if (!sameHome(Seen.From_, From))
+      return GateResult::Duplicate;
+    if (!Seen.Refused_)
+      return GateResult::Repeat;
+    if (From.Attempt_ <= Seen.From_.Attempt_)
+      return GateResult::Refused;
+  }
+  if (From.Epoch_ < Epoch_)
+    return GateResult::StaleEpoch;
+  Epoch_ = From.Epoch_;
+  const TimePoint ExpiresAt = Now_() + Retention_;
+  Tasks_[Key] = {From, false, ExpiresAt};
+  Expiries_.emplace_back(ExpiresAt, Key);
+  return GateResult::Admit;
+}
+
+void StartGate::refuse(const JobKey &Job, TaskIndex Task) {
+  if (const auto Found = Tasks_.find({Job, Task}); Found != Tasks_.end())
+    Found->second.Refused_ = true;
+}
+
+void StartGate::raiseEpoch(std::uint64_t Epoch) noexcept {
+  Epoch_ = std::max(Epoch_, Epoch);
+}
+
+void StartGate::dropExpired() {
+  const TimePoint Now = Now_();
+  while (!Expiries_.empty() && Expiries_.front().first <= Now) {
+    const auto Found = Tasks_.find(Expiries_.front().second);
+    Expiries_.pop_front();
+    if (Found != Tasks_.end() && Found->second.ExpiresAt_ <= Now)
+      Tasks_.erase(Found);
+  }
+}
+
+} // namespace wigeonwall::request
--- a/packages/version/include/wigeonwall/version/agent_map.h
+++ b/packages/version/include/wigeonwall/version/agent_map.h
@@ -30,6 +30,8 @@
   std::string Service_;
   /// First epoch that lists this incarnation.
   Epoch JoinedEpoch_ = 0;
+  /// Unix time in ms of the write of that epoch.
+  std::int64_t JoinedAtMs_ = 0;
   /// First epoch that no longer lists it; 0 while present.
   Epoch RemovedEpoch_ = 0;
   /// Unix time in ms of the removal; 0 while present.
@@ -64,10 +66,13 @@
   [[nodiscard]] HolderPair holders(const request::JobKey &Key) const {
     return holders(Key, Epoch_);
   }
-  /// \brief Distinct pairs under earlier epochs back to OldestEpoch_ that
-  /// differ from the current pair.
+  /// \brief Distinct pairs under the epochs from \p Oldest on that differ from
+  /// the current pair.
   [[nodiscard]] std::vector<HolderPair>
-  earlierHolders(const request::JobKey &Key) const;
+  earlierHolders(const request::JobKey &Key, Epoch Oldest) const;
+  /// \brief Oldest epoch that was in force within the last \p RetentionMs.
+  [[nodiscard]] Epoch oldestEpochAt(std::int64_t NowMs,
+                                    std::int64_t RetentionMs) const;
   /// \brief Present agents of \p Service.
   [[nodiscard]] std::vector<const MapAgent *>
   agentsOf(const std::string &Service) const;
--- a/packages/version/src/agent_map.cpp
+++ b/packages/version/src/agent_map.cpp
@@ -54,6 +54,7 @@
   Value["failure_domain"] = Agent.FailureDomain_;
   Value["service"] = Agent.Service_;
   Value["joined_epoch"] = Json::UInt64(Agent.JoinedEpoch_);
+  Value["joined_at_ms"] = Json::Int64(Agent.JoinedAtMs_);
   if (Agent.RemovedEpoch_ != 0) {
     Value["removed_epoch"] = Json::UInt64(Agent.RemovedEpoch_);
     Value["removed_at_ms"] = Json::Int64(Agent.RemovedAtMs_);
@@ -76,6 +77,7 @@
   Reader.string("failure_domain", Agent.FailureDomain_);
   Reader.string("service", Agent.Service_);
   Reader.integer("joined_epoch", 0, INT64_MAX, Joined);
+  Reader.integer("joined_at_ms", 0, INT64_MAX, Agent.JoinedAtMs_);
   Reader.optionalInteger("removed_epoch", 0, INT64_MAX, Removed);
   Reader.optionalInteger("removed_at_ms", 0, INT64_MAX, Agent.RemovedAtMs_);
   Reader.optionalInteger("stopped_at_ms", 0, INT64_MAX, Agent.StoppedAtMs_);
@@ -109,9 +111,10 @@
   return Pair;
 }
 
-std::vector<HolderPair> AgentMap::earlierHolders(const JobKey &Key) const {
+std::vector<HolderPair> AgentMap::earlierHolders(const JobKey &Key,
+                                                 Epoch Oldest) const {
   // Pairs change only where an agent of the service joined or left.
-  std::set<Epoch> Starts{OldestEpoch_};
+  std::set<Epoch> Starts{Oldest};
   for (const MapAgent &Agent : Agents_) {
     if (Agent.Service_ != Key.Service_)
       continue;
@@ -125,7 +128,7 @@
       {identity(Current.Home_), identity(Current.Copy_)}};
   std::vector<HolderPair> Result;
   for (Epoch Start : Starts) {
-    if (Start < OldestEpoch_ || Start >= Epoch_)
+    if (Start < Oldest || Start >= Epoch_)
       continue;
     const HolderPair Pair = holders(Key, Start);
     if (Pair.Home_ != nullptr &&
@@ -135,6 +138,19 @@
   return Result;
 }
 
+Epoch AgentMap::oldestEpochAt(std::int64_t NowMs,
+                              std::int64_t RetentionMs) const {
+  const std::int64_t Limit = NowMs - RetentionMs;
+  Epoch Oldest = OldestEpoch_;
+  for (const MapAgent &Agent : Agents_) {
+    if (Agent.JoinedAtMs_ < Limit)
+      Oldest = std::max(Oldest, Agent.JoinedEpoch_);
+    if (Agent.RemovedEpoch_ != 0 && Agent.RemovedAtMs_ < Limit)
+      Oldest = std::max(Oldest, Agent.RemovedEpoch_);
+  }
+  return Oldest;
+}
+
 std::vector<const MapAgent *>
 AgentMap::agentsOf(const std::string &Service) const {
   std::vector<const MapAgent *> Result;
@@ -213,6 +229,7 @@
            NowMs);
   }
   Agent.JoinedEpoch_ = Next;
+  Agent.JoinedAtMs_ = NowMs;
   Agent.RemovedEpoch_ = 0;
   Agent.RemovedAtMs_ = 0;
   Agent.StoppedAtMs_ = 0;
@@ -220,10 +237,8 @@
   return true;
 }
 
-void dropExpired(AgentMap &Map, std::int64_t OldestMs) {
-  for (const MapAgent &Agent : Map.Agents_)
-    if (Agent.RemovedEpoch_ != 0 && Agent.RemovedAtMs_ < OldestMs)
-      Map.OldestEpoch_ = std::max(Map.OldestEpoch_, Agent.RemovedEpoch_);
+void dropExpired(AgentMap &Map, std::int64_t NowMs, std::int64_t RetentionMs) {
+  Map.OldestEpoch_ = Map.oldestEpochAt(NowMs, RetentionMs);
   std::erase_if(Map.Agents_, [&](const MapAgent &Agent) {
     return Agent.RemovedEpoch_ != 0 && Agent.RemovedEpoch_ <= Map.OldestEpoch_;
   });
@@ -243,7 +258,7 @@
     Changed = join(Result, Agent, Next, NowMs) || Changed;
   if (!Changed)
     return std::nullopt;
-  dropExpired(Result, NowMs - RetentionMs);
+  dropExpired(Result, NowMs, RetentionMs);
   Result.Epoch_ = Next;
   return Result;
 }
--- a/tests/unit/agent_map_test.cpp
+++ b/tests/unit/agent_map_test.cpp
@@ -76,7 +76,7 @@
   const AgentMap After = *applyChange(Before, Change, 1000, RetentionMs);
   for (int I = 0; I < 200; ++I) {
     const HolderPair Old = Before.holders(key(I));
-    const auto Earlier = After.earlierHolders(key(I));
+    const auto Earlier = After.earlierHolders(key(I), After.OldestEpoch_);
     const bool Moved = Old.Home_->Id_ == "a1" || Old.Copy_->Id_ == "a1";
     BOOST_TEST(Earlier.size() == (Moved ? 1U : 0U));
     if (Moved && !Earlier.empty())
