Read process settings from INI files

Cause: a process learns its addresses, role and limits from its settings, and a bad file must give one error with its position. A key or section that is unknown, set twice, missing, out of range or of the other role is refused as "FILE:LINE: [section] key: what is wrong".

--- a/packages/process/include/wigeonwall/process/fwd.h
+++ b/packages/process/include/wigeonwall/process/fwd.h
@@ -6,6 +6,7 @@
 namespace wigeonwall::process {
 
 class Counters;
+struct Settings;
 
 } // namespace wigeonwall::process
 
--- /dev/null
+++ b/packages/process/include/wigeonwall/process/settings.h
@@ -0,0 +1,130 @@
+/// \file
+/// \brief Settings of one `wigeonwall` process, read from an INI file.
+///
+/// Sections: `[process]` for both roles, then `[entry]` or `[agent]` to match
+/// the role. `examples/entry.ini` and `examples/agent.ini` describe every key.
+#ifndef WIGEONWALL_PROCESS_SETTINGS_H
+#define WIGEONWALL_PROCESS_SETTINGS_H
+
+#include "wigeonwall/connection/endpoint.h"
+#include "wigeonwall/process/cluster_view.h"
+#include "wigeonwall/request/enum_names.h"
+#include "wigeonwall/request/fault.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wigeonwall::process {
+
+/// \brief How a home chooses the agent of a task.
+enum class PlacementPolicy : std::uint8_t { Random, TwoChoices, LeastLoaded };
+
+inline constexpr std::array<request::EnumName<PlacementPolicy>, 3>
+    PlacementPolicyNames{{
+        {PlacementPolicy::Random, "random"},
+        {PlacementPolicy::TwoChoices, "two_choices"},
+        {PlacementPolicy::LeastLoaded, "least_loaded"},
+    }};
+
+/// \brief Order in which an agent serves its queued tasks.
+enum class QueuePolicy : std::uint8_t { Fifo, Fair };
+
+inline constexpr std::array<request::EnumName<QueuePolicy>, 2> QueuePolicyNames{
+    {
+        {QueuePolicy::Fifo, "fifo"},
+        {QueuePolicy::Fair, "fair"},
+    }};
+
+/// \brief Whether jobs beyond the share of their kind are refused early.
+enum class AdmissionPolicy : std::uint8_t { None, Share };
+
+inline constexpr std::array<request::EnumName<AdmissionPolicy>, 2>
+    AdmissionPolicyNames{{
+        {AdmissionPolicy::None, "none"},
+        {AdmissionPolicy::Share, "share"},
+    }};
+
+/// \brief Section `[entry]`.
+struct EntrySettings {
+  connection::Endpoint CallersListen_;
+  std::uint32_t TrafficThreads_ = 1;
+  std::uint32_t MaxConnections_ = 1024;
+  std::uint64_t MaxBodyBytes_ = 1024 * 1024;
+};
+
+/// \brief Section `[agent]`.
+struct AgentSettings {
+  std::string Service_;
+  connection::Endpoint Minion_;
+  /// Most requests in flight at the minion.
+  std::uint32_t Slots_ = 0;
+  /// Most connections to the minion.
+  std::uint32_t Connections_ = 0;
+  std::chrono::milliseconds DrainTimeout_{30'000};
+  PlacementPolicy Placement_ = PlacementPolicy::LeastLoaded;
+  QueuePolicy Queue_ = QueuePolicy::Fair;
+  AdmissionPolicy Admission_ = AdmissionPolicy::Share;
+};
+
+/// \brief All settings of a process; only the section of its role is filled.
+struct Settings {
+  std::string Id_;
+  Role Role_ = Role::Agent;
+  std::string FailureDomain_;
+  /// Announced to other processes, so never a wildcard address.
+  connection::Endpoint ControlListen_;
+  /// Announced to other processes, so never a wildcard address.
+  connection::Endpoint TrafficListen_;
+  connection::Endpoint AdminListen_;
+  /// Empty for the first process of a system.
+  std::vector<connection::Endpoint> Seeds_;
+  /// Key-value service; at least one.
+  std::vector<connection::Endpoint> Store_;
+  /// Empty for stderr.
+  std::string LogFile_;
+  /// Empty for no trace.
+  std::string TraceFile_;
+  EntrySettings Entry_;
+  AgentSettings Agent_;
+};
+
+/// \brief Errors of reading settings.
+enum class SettingsError : std::uint8_t {
+  None,
+  Unreadable,
+  Syntax,
+  UnknownSection,
+  UnknownKey,
+  DuplicateKey,
+  MissingKey,
+  BadValue,
+};
+
+/// Position_ is "FILE:LINE"; Message_ is "[section] key: what is wrong".
+using SettingsFault = request::Fault<SettingsError>;
+
+/// \brief Reads and checks the file \p Path.
+/// \code
+/// SettingsFault Why;
+/// const auto Loaded = loadSettings("agent.ini", Why);
+/// if (!Loaded)
+///   std::cerr << describe(Why) << "\n";
+/// \endcode
+[[nodiscard]] std::optional<Settings> loadSettings(const std::string &Path,
+                                                   SettingsFault &Why);
+
+/// \brief Checks settings in memory; \p File names them in faults.
+[[nodiscard]] std::optional<Settings> parseSettings(std::string_view Text,
+                                                    const std::string &File,
+                                                    SettingsFault &Why);
+
+/// \brief Writes "FILE:LINE: [section] key: what is wrong".
+[[nodiscard]] std::string describe(const SettingsFault &Why);
+
+} // namespace wigeonwall::process
+
+#endif
