--- a/packages/connection/include/wigeonwall/connection/fwd.h
+++ b/packages/connection/include/wigeonwall/connection/fwd.h
@@ -5,8 +5,10 @@
 
 namespace wigeonwall::connection {
 
+class ConsulStore;
 class HttpClient;
 class HttpServer;
+class KeyValueStore;
 class RpcClient;
 class RpcServer;
 struct Endpoint;
