--- a/packages/request/include/wigeonwall/request.h
+++ b/packages/request/include/wigeonwall/request.h
@@ -7,6 +7,7 @@
 #include "wigeonwall/request/clock.h"
 #include "wigeonwall/request/codec.h"
 #include "wigeonwall/request/enum_names.h"
+#include "wigeonwall/request/estimator.h"
 #include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/fault.h"
 #include "wigeonwall/request/fwd.h"
--- a/packages/request/include/wigeonwall/request/fwd.h
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -8,10 +8,12 @@
 namespace wigeonwall::request {
 
 class FairQueue;
+class RunTimeEstimator;
 struct AgentLoad;
 struct JobAnswer;
 struct JobKey;
 struct JobSpec;
+struct KindKey;
 struct KindPolicy;
 struct QueuedTask;
 struct TaskResult;
