--- a/packages/request/include/wigeonwall/request/fwd.h
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -7,12 +7,18 @@
 
 namespace wigeonwall::request {
 
+class FairQueue;
+class RunTimeEstimator;
 struct AgentLoad;
 struct JobAnswer;
 struct JobKey;
 struct JobSpec;
+struct KindKey;
+struct KindPolicy;
+struct QueuedTask;
 struct TaskResult;
 struct TaskSpec;
+enum class QueuePolicy : std::uint8_t;
 enum class Outcome : std::uint8_t;
 enum class Reason : std::uint8_t;
 template <typename Code> struct Fault;
