--- a/packages/connection/include/wigeonwall/connection/http_server.h
+++ b/packages/connection/include/wigeonwall/connection/http_server.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds ReadTimeout_{5'000};
   /// Between requests on a connection.
   std::chrono::milliseconds IdleTimeout_{60'000};
+  /// Several servers, one per thread, may listen on the address.
+  bool ReusePort_ = false;
 };
 
 /// \brief Accepts connections and passes requests to a handler.
@@ -53,6 +55,9 @@
   [[nodiscard]] bool listen();
   /// \brief Port in use; differs from the asked one when that was 0.
   [[nodiscard]] std::uint16_t port() const noexcept;
+  /// \brief Closes each connection after its next response, so that clients go
+  /// elsewhere; still accepts connections.
+  void beginClosing();
   /// \brief Stops accepting; open connections close after their response.
   void stopAccepting();
   [[nodiscard]] std::size_t connectionCount() const noexcept;
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -29,6 +29,7 @@
   std::uint16_t Port_ = 0;
   std::size_t Connections_ = 0;
   bool Stopping_ = false;
+  bool Closing_ = false;
 };
 
 namespace detail {
@@ -130,7 +131,7 @@
       Message_->set(Name, Value);
     Message_->set(http::field::content_type, Response.ContentType_);
     Message_->body() = std::move(Response.Body_);
-    KeepAlive_ = KeepAlive_ && !Server_->Stopping_;
+    KeepAlive_ = KeepAlive_ && !Server_->Stopping_ && !Server_->Closing_;
     Message_->keep_alive(KeepAlive_);
     Message_->prepare_payload();
     Stream_.expires_after(Server_->Limits_.ReadTimeout_);
@@ -192,6 +193,10 @@
     Acceptor.open(Local.protocol(), Error);
   if (!Error)
     Acceptor.set_option(Tcp::acceptor::reuse_address(true), Error);
+  using ReusePort =
+      asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+  if (!Error && State_->Limits_.ReusePort_)
+    Acceptor.set_option(ReusePort(true), Error);
   if (!Error)
     Acceptor.bind(Local, Error);
   if (!Error)
@@ -205,6 +210,8 @@
 
 std::uint16_t HttpServer::port() const noexcept { return State_->Port_; }
 
+void HttpServer::beginClosing() { State_->Closing_ = true; }
+
 void HttpServer::stopAccepting() {
   State_->Stopping_ = true;
   boost::system::error_code Ignored;
--- a/packages/process/include/wigeonwall/process/entry.h
+++ b/packages/process/include/wigeonwall/process/entry.h
@@ -38,9 +38,12 @@
 /// service and job id.
 class Entry {
 public:
-  /// \p Context.Self_.Address_ receives `job.finished`.
   Entry(AgentContext Context, std::size_t MaxJobs);
 
+  /// \brief Sets the address that receives `job.finished`; call before the
+  /// first submission.
+  void setReplyTo(std::string Address) { ReplyTo_ = std::move(Address); }
+
   /// \brief Takes a job; \p Done runs once, at the latest shortly after the
   /// job's deadline, unless the result is a refusal.
   [[nodiscard]] EntryRefusal submit(request::JobSpec Spec, AnswerCallback Done);
@@ -87,6 +90,7 @@
 
   AgentContext Context_;
   std::size_t MaxJobs_;
+  std::string ReplyTo_;
   std::unordered_map<request::JobKey, std::unique_ptr<Pending>,
                      request::JobKeyHash>
       Pending_;
--- a/packages/process/include/wigeonwall/process/settings.h
+++ b/packages/process/include/wigeonwall/process/settings.h
@@ -9,6 +9,7 @@
 #include "wigeonwall/connection/endpoint.h"
 #include "wigeonwall/process/cluster_view.h"
 #include "wigeonwall/request/enum_names.h"
+#include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/fault.h"
 
 #include <chrono>
@@ -30,15 +31,6 @@
         {PlacementPolicy::LeastLoaded, "least_loaded"},
     }};
 
-/// \brief Order in which an agent serves its queued tasks.
-enum class QueuePolicy : std::uint8_t { Fifo, Fair };
-
-inline constexpr std::array<request::EnumName<QueuePolicy>, 2> QueuePolicyNames{
-    {
-        {QueuePolicy::Fifo, "fifo"},
-        {QueuePolicy::Fair, "fair"},
-    }};
-
 /// \brief Whether jobs beyond the share of their kind are refused early.
 enum class AdmissionPolicy : std::uint8_t { None, Share };
 
@@ -66,7 +58,7 @@
   std::uint32_t Connections_ = 0;
   std::chrono::milliseconds DrainTimeout_{30'000};
   PlacementPolicy Placement_ = PlacementPolicy::LeastLoaded;
-  QueuePolicy Queue_ = QueuePolicy::Fair;
+  request::QueuePolicy Queue_ = request::QueuePolicy::Fair;
   AdmissionPolicy Admission_ = AdmissionPolicy::Share;
 };
 
--- /dev/null
+++ b/packages/process/src/admin_api.cpp
@@ -0,0 +1,80 @@
+#include "wigeonwall/process/admin_api.h"
+
+#include "wigeonwall/request/codec.h"
+
+namespace wigeonwall::process {
+
+using connection::HttpRequest;
+using connection::HttpRespond;
+using connection::HttpResponse;
+
+namespace {
+
+HttpResponse text(int Status, std::string Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.ContentType_ = "text/plain; charset=utf-8";
+  Response.Body_ = std::move(Body);
+  return Response;
+}
+
+Json::Value describeMember(const Member &Each) {
+  Json::Value Value;
+  Value["id"] = Each.Id_;
+  Value["role"] = std::string(request::findName(RoleNames, Each.Role_));
+  Value["state"] =
+      std::string(request::findName(MemberStateNames, Each.State_));
+  Value["incarnation"] = Json::Int64(Each.Incarnation_);
+  Value["control"] = Each.ControlAddress_;
+  Value["traffic"] = Each.TrafficAddress_;
+  Value["failure_domain"] = Each.FailureDomain_;
+  Value["service"] = Each.Service_;
+  return Value;
+}
+
+} // namespace
+
+Json::Value describeView(const ClusterView &View) {
+  Json::Value Value;
+  Value["ready"] = View.ready();
+  Value["map_epoch"] = Json::UInt64(View.Map_ ? View.Map_->Epoch_ : 0);
+  Value["config_version"] =
+      Json::UInt64(View.Config_ ? View.Config_->Version_ : 0);
+  Json::Value Services(Json::arrayValue);
+  if (View.Config_)
+    for (const auto &Service : View.Config_->Services_)
+      Services.append(Service.Name_);
+  Value["services"] = std::move(Services);
+  Json::Value Members(Json::arrayValue);
+  for (const Member &Each : View.Members_)
+    Members.append(describeMember(Each));
+  Value["members"] = std::move(Members);
+  return Value;
+}
+
+connection::HttpHandler makeAdminHandler(const ViewPublisher &Views,
+                                         const Counters &ProcessCounters,
+                                         AdminHooks Hooks) {
+  return [&Views, &ProcessCounters, Hooks = std::move(Hooks)](
+             const HttpRequest &Request, const HttpRespond &Respond) {
+    const std::string What = Request.Method_ + " " + Request.Target_;
+    if (What == "GET /healthz")
+      return Respond(text(200, "ok\n"));
+    if (What == "GET /readyz")
+      return Respond(Hooks.Ready_() ? text(200, "ready\n")
+                                    : text(503, "not ready\n"));
+    if (What == "GET /metrics")
+      return Respond(text(200, ProcessCounters.exposition()));
+    if (What == "POST /drain") {
+      Hooks.Drain_();
+      return Respond(text(202, "draining\n"));
+    }
+    if (What != "GET /status")
+      return Respond(text(404, "no such resource\n"));
+    HttpResponse Response;
+    Response.Body_ = request::writeJson(describeView(*Views.current())) + "\n";
+    Respond(std::move(Response));
+  };
+}
+
+} // namespace wigeonwall::process
--- /dev/null
+++ b/packages/process/src/agent_role.cpp
@@ -0,0 +1,73 @@
+#include "wigeonwall/process/agent_role.h"
+
+#include "wigeonwall/process/event_loop.h"
+#include "wigeonwall/process/service_agents.h"
+
+namespace wigeonwall::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{20};
+MinionCall makeMinionCall(connection::asio::io_context &Traffic,
+                          const AgentSettings &Options) {
+  connection::HttpClientLimits Limits;
+  Limits.ConnectionsPerPeer_ = Options.Connections_;
+  return makeHttpMinionCall(
+      std::make_shared<connection::HttpClient>(Traffic, Limits),
+      Options.Minion_);
+}
+
+} // namespace
+
+AgentRole::AgentRole(connection::asio::io_context &Traffic,
+                     const Settings &Options, std::int64_t Incarnation,
+                     ViewPublisher &Views, Counters &ProcessCounters)
+    : Context_(makeRoleContext(Traffic, Options, Incarnation, Views,
+                               ProcessCounters)),
+      Server_(Traffic, Options.TrafficListen_, trafficLimits(),
+              makeMessageObserver(ProcessCounters)),
+      Home_(Context_, makePlacement(Options.Agent_.Placement_, Context_),
+            makeAdmission(Options.Agent_.Admission_, Context_)),
+      Gateway_(Context_, Options.Agent_.Service_, Options.Agent_.Queue_,
+               Options.Agent_.Slots_, makeMinionCall(Traffic, Options.Agent_)) {
+  addMethods();
+  tickEvery(Context_.After_, TickPeriod, [this] {
+    Home_.tick();
+    Gateway_.tick();
+  });
+}
+
+void AgentRole::addMethods() {
+  const auto Add = [this](const char *Name, auto &Part, auto Method) {
+    Server_.addMethod(Name, [&Part, Method](const Json::Value &Params) {
+      return (Part.*Method)(Params);
+    });
+  };
+  Add("job.submit", Home_, &Home::submit);
+  Add("job.status", Home_, &Home::status);
+  Add("job.cancel", Home_, &Home::cancel);
+  Add("record.prepare", Home_, &Home::prepare);
+  Add("record.finish", Home_, &Home::finish);
+  Add("record.seal", Home_, &Home::seal);
+  Add("task.results", Home_, &Home::results);
+  Add("task.start", Gateway_, &MinionGateway::start);
+  Add("task.cancel", Gateway_, &MinionGateway::cancel);
+}
+
+bool AgentRole::listen() { return Server_.listen(); }
+
+void AgentRole::onViewChange() {
+  Home_.onViewChange();
+  Gateway_.onViewChange();
+}
+
+void AgentRole::beginLeaving() {
+  Home_.beginLeaving();
+  Gateway_.beginLeaving();
+}
+
+bool AgentRole::drained() const noexcept {
+  return Home_.unfinished() == 0 && Gateway_.idle();
+}
+
+} // namespace wigeonwall::process
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -78,7 +78,7 @@
   }
   Json::Value Params;
   Params["epoch"] = Json::UInt64(View->Map_->Epoch_);
-  Params["reply_to"] = Context_.Self_.Address_;
+  Params["reply_to"] = ReplyTo_;
   Params["job"] = request::encodeJobSpec(Job.Spec_);
   Job.Asking_ = true;
   Context_.Call_(Address, "job.submit", std::move(Params), CallTimeout,
--- /dev/null
+++ b/packages/process/src/entry_role.cpp
@@ -0,0 +1,68 @@
+#include "wigeonwall/process/entry_role.h"
+
+#include "wigeonwall/process/event_loop.h"
+#include "wigeonwall/process/service_agents.h"
+
+namespace wigeonwall::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{20};
+/// Jobs of one shard whose callers wait; bounds the memory of an entry.
+constexpr std::size_t MaxJobs = 50'000;
+
+connection::HttpLimits callerLimits(const EntrySettings &Options) {
+  connection::HttpLimits Limits;
+  Limits.BodyBytes_ = Options.MaxBodyBytes_;
+  Limits.Connections_ = Options.MaxConnections_;
+  Limits.ReusePort_ = Options.TrafficThreads_ > 1;
+  return Limits;
+}
+
+/// The first shard has the announced port, the others any free one.
+connection::Endpoint answersAddress(const Settings &Options,
+                                    std::uint32_t Shard) {
+  connection::Endpoint Address = Options.TrafficListen_;
+  if (Shard != 0)
+    Address.Port_ = 0;
+  return Address;
+}
+
+} // namespace
+
+EntryRole::EntryRole(connection::asio::io_context &Traffic,
+                     const Settings &Options, std::uint32_t Shard,
+                     std::int64_t Incarnation, ViewPublisher &Views,
+                     Counters &ProcessCounters)
+    : Context_(makeRoleContext(Traffic, Options, Incarnation, Views,
+                               ProcessCounters)),
+      Host_(Options.TrafficListen_.Host_),
+      Answers_(Traffic, answersAddress(Options, Shard), trafficLimits(),
+               makeMessageObserver(ProcessCounters)),
+      Jobs_(Context_, MaxJobs), Api_(Context_, Jobs_),
+      Callers_(Traffic, Options.Entry_.CallersListen_,
+               callerLimits(Options.Entry_),
+               [this](connection::HttpRequest Request,
+                      const connection::HttpRespond &Respond) {
+                 Api_.handle(std::move(Request), Respond);
+               }) {
+  Answers_.addMethod("job.finished", [this](const Json::Value &Params) {
+    return Jobs_.finished(Params);
+  });
+  tickEvery(Context_.After_, TickPeriod, [this] { Jobs_.tick(); });
+}
+
+bool EntryRole::listen() {
+  if (!Answers_.listen() || !Callers_.listen())
+    return false;
+  Jobs_.setReplyTo(connection::formatEndpoint({Host_, Answers_.port()}));
+  return true;
+}
+
+void EntryRole::beginLeaving() { Callers_.beginClosing(); }
+
+void EntryRole::stopAccepting() { Callers_.stopAccepting(); }
+
+bool EntryRole::drained() const noexcept { return Jobs_.unfinished() == 0; }
+
+} // namespace wigeonwall::process
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -7,7 +7,6 @@
 namespace wigeonwall::process {
 
 using request::GateResult;
-using request::JobKey;
 using request::Reason;
 using request::TaskIndex;
 using request::TaskResult;
@@ -42,17 +41,19 @@
 
 } // namespace
 
-MinionGateway::MinionGateway(AgentContext Context, QueueHooks Queue,
+MinionGateway::MinionGateway(AgentContext Context, std::string Service,
+                             request::QueuePolicy Policy, unsigned Slots,
                              MinionCall Call)
-    : Context_(std::move(Context)), Queue_(std::move(Queue)),
-      Call_(std::move(Call)), Gate_(Context_.Now_, GateRetention),
+    : Context_(std::move(Context)), Service_(std::move(Service)),
+      Queue_(Policy, Slots, {}, Context_.Now_), Call_(std::move(Call)),
+      Gate_(Context_.Now_, GateRetention),
       Results_(
           Context_.Call_, Context_.After_, "task.results",
           [this] {
             Json::Value Header;
             Header["agent"] = Context_.Self_.Id_;
             Header["incarnation"] = Json::Int64(Context_.Self_.Incarnation_);
-            Header["load"] = request::encodeLoad(Queue_.Load_());
+            Header["load"] = request::encodeLoad(Queue_.load());
             return Header;
           },
           nullptr, CallTimeout) {}
@@ -65,7 +66,7 @@
   });
   startNext();
   Reply["agent"] = Context_.Self_.Id_;
-  Reply["load"] = request::encodeLoad(Queue_.Load_());
+  Reply["load"] = request::encodeLoad(Queue_.load());
   return Reply;
 }
 
@@ -105,7 +106,7 @@
     break;
   }
   const std::uint64_t Ticket = NextTicket_++;
-  const Reason Why = Leaving_ ? Reason::Draining : Queue_.Push_(Ticket, Task);
+  const Reason Why = Leaving_ ? Reason::Draining : enqueue(Ticket, Task);
   if (Why != Reason::None) {
     Gate_.refuse(Task.Job_, Task.Task_);
     return refused(Why);
@@ -114,9 +115,21 @@
   return queued();
 }
 
+Reason MinionGateway::enqueue(std::uint64_t Ticket, const GatewayTask &Task) {
+  request::QueuedTask Entry;
+  Entry.Job_ = Task.Job_;
+  Entry.Task_ = Task.Task_;
+  Entry.Kind_ = Task.Kind_;
+  Entry.Deadline_ = Task.Deadline_;
+  Entry.ExpectedRun_ = Estimator_.expectedRun({Task.Job_.Service_, Task.Kind_},
+                                              Task.DeclaredRun_);
+  Entry.Ticket_ = Ticket;
+  return Queue_.push(std::move(Entry));
+}
+
 void MinionGateway::startNext() {
-  while (const auto Ticket = Queue_.Pop_())
-    run(*Ticket);
+  while (const auto Next = Queue_.pop())
+    run(Next->Ticket_);
 }
 
 void MinionGateway::run(std::uint64_t Ticket) {
@@ -140,17 +153,22 @@
   Result.Index_ = Task.Task_;
   if (!Result.Started_)
     Gate_.refuse(Task.Job_, Task.Task_);
-  Queue_.Finish_(Task, Context_.Now_() - StartedAt, Result);
+  if (Result.Reason_ == Reason::None)
+    Estimator_.record({Task.Job_.Service_, Task.Kind_},
+                      Context_.Now_() - StartedAt);
+  Queue_.finish(Task.Kind_);
   startNext();
   report(Task, Result);
 }
 
-void MinionGateway::handBack(std::uint64_t Ticket, Reason Why) {
-  const auto Node = Queued_.extract(Ticket);
-  const GatewayTask &Task = Node.mapped();
-  Queue_.Remove_(Ticket);
-  Gate_.refuse(Task.Job_, Task.Task_);
-  report(Task, notStarted(Task.Task_, Why));
+void MinionGateway::handBack(const std::vector<request::QueuedTask> &Tasks,
+                             Reason Why) {
+  for (const request::QueuedTask &Each : Tasks) {
+    const auto Node = Queued_.extract(Each.Ticket_);
+    const GatewayTask &Task = Node.mapped();
+    Gate_.refuse(Task.Job_, Task.Task_);
+    report(Task, notStarted(Task.Task_, Why));
+  }
 }
 
 void MinionGateway::report(const GatewayTask &Task, const TaskResult &Result) {
@@ -182,43 +200,35 @@
 
 Json::Value MinionGateway::cancel(const Json::Value &Params) {
   return handleItems(Params, [this](const Json::Value &Item) {
-    const JobKey Job = readJobKey(Item);
-    std::vector<std::uint64_t> Tickets;
-    for (const auto &[Ticket, Task] : Queued_)
-      if (Task.Job_ == Job)
-        Tickets.push_back(Ticket);
-    for (const std::uint64_t Ticket : Tickets) {
-      Queue_.Remove_(Ticket);
-      Gate_.refuse(Job, Queued_.at(Ticket).Task_);
-      Queued_.erase(Ticket);
+    const auto Removed = Queue_.removeJob(readJobKey(Item));
+    for (const request::QueuedTask &Task : Removed) {
+      Gate_.refuse(Task.Job_, Task.Task_);
+      Queued_.erase(Task.Ticket_);
     }
     Json::Value Reply;
-    Reply["removed"] = Json::UInt64(Tickets.size());
+    Reply["removed"] = Json::UInt64(Removed.size());
     return Reply;
   });
 }
 
 void MinionGateway::beginLeaving() {
   Leaving_ = true;
-  std::vector<std::uint64_t> Tickets;
-  for (const auto &[Ticket, Task] : Queued_)
-    Tickets.push_back(Ticket);
-  for (const std::uint64_t Ticket : Tickets)
-    handBack(Ticket, Reason::Draining);
+  handBack(Queue_.clear(), Reason::Draining);
 }
 
 void MinionGateway::tick() {
-  const request::TimePoint Now = Context_.Now_();
-  std::vector<std::uint64_t> Expired;
-  for (const auto &[Ticket, Task] : Queued_)
-    if (Task.Deadline_ <= Now)
-      Expired.push_back(Ticket);
-  for (const std::uint64_t Ticket : Expired)
-    handBack(Ticket, Reason::DeadlineExceeded);
+  handBack(Queue_.removeExpired(), Reason::DeadlineExceeded);
 }
 
 void MinionGateway::onViewChange() {
-  Gate_.raiseEpoch(currentEpoch(*Context_.View_()));
+  const auto View = Context_.View_();
+  Gate_.raiseEpoch(currentEpoch(*View));
+  if (!View->Config_ || View->Config_->Version_ == ConfigVersion_)
+    return;
+  ConfigVersion_ = View->Config_->Version_;
+  handBack(Queue_.setPolicies(kindPolicies(*View->Config_, Service_)),
+           Reason::UnknownKind);
+  startNext();
 }
 
 bool MinionGateway::idle() const noexcept {
@@ -257,6 +267,18 @@
 
 } // namespace
 
+std::vector<request::KindPolicy> kindPolicies(const version::Config &Config,
+                                              const std::string &Service) {
+  std::vector<request::KindPolicy> Result;
+  const auto *Found = Config.findService(Service);
+  if (Found == nullptr)
+    return Result;
+  for (const version::KindConfig &Kind : Found->Kinds_)
+    Result.push_back({Kind.Name_, Kind.Urgency_, Kind.Weight_, Kind.MinShare_,
+                      Kind.QueueLimit_});
+  return Result;
+}
+
 MinionCall makeHttpMinionCall(std::shared_ptr<connection::HttpClient> Client,
                               connection::Endpoint Minion) {
   return [Client = std::move(Client), Minion = std::move(Minion)](
@@ -282,38 +304,4 @@
   };
 }
 
-QueueHooks makeFifoQueue(unsigned Slots, std::size_t QueueLimit) {
-  struct State {
-    std::deque<std::uint64_t> Order_;
-    unsigned Running_ = 0;
-  };
-  auto Queue = std::make_shared<State>();
-  QueueHooks Hooks;
-  Hooks.Push_ = [Queue, QueueLimit](std::uint64_t Ticket, const GatewayTask &) {
-    if (Queue->Order_.size() >= QueueLimit)
-      return Reason::QueueFull;
-    Queue->Order_.push_back(Ticket);
-    return Reason::None;
-  };
-  Hooks.Pop_ = [Queue, Slots]() -> std::optional<std::uint64_t> {
-    if (Queue->Running_ >= Slots || Queue->Order_.empty())
-      return std::nullopt;
-    const std::uint64_t Ticket = Queue->Order_.front();
-    Queue->Order_.pop_front();
-    ++Queue->Running_;
-    return Ticket;
-  };
-  Hooks.Finish_ = [Queue](const GatewayTask &, request::Duration,
-                          const TaskResult &) { --Queue->Running_; };
-  Hooks.Remove_ = [Queue](std::uint64_t Ticket) {
-    std::erase(Queue->Order_, Ticket);
-  };
-  Hooks.Load_ = [Queue, Slots] {
-    return request::AgentLoad{Queue->Running_,
-                              static_cast<std::uint32_t>(Queue->Order_.size()),
-                              Slots};
-  };
-  return Hooks;
-}
-
 } // namespace wigeonwall::process
--- a/packages/process/src/settings_keys.cpp
+++ b/packages/process/src/settings_keys.cpp
@@ -195,7 +195,7 @@
        }},
       {Section, "queue", false,
        [](auto &Text, Settings &To) {
-         return readEnum(Text, QueuePolicyNames, To.Agent_.Queue_);
+         return readEnum(Text, request::QueuePolicyNames, To.Agent_.Queue_);
        }},
       {Section, "admission", false,
        [](auto &Text, Settings &To) {
