Test the job path under deaths, freezes, cuts and lost messages

Cause: the promises on starts and answers had no test under failure. The tests found two faults, both fixed: a job that was sent away while being accepted was read after it was freed (settling now starts after the reply is made), and an agent that left the view before the home had looked at it was never noticed as lost (every view change now checks all placed tasks).

--- a/packages/process/include/wigeonwall/process/task_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/task_dispatcher.h
@@ -6,7 +6,6 @@
 #include "wigeonwall/process/agent_context.h"
 #include "wigeonwall/request/job_table.h"
 
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -78,8 +77,6 @@
   EndHook End_;
   CallBatcher Starts_;
   CallBatcher Cancels_;
-  /// Agents of the last view: id to incarnation.
-  std::map<std::string, std::int64_t> KnownAgents_;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -138,7 +138,8 @@
   JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
   Record.ReplyTo_.insert(ReplyTo);
   Context_.Counters_.counter("jobs_accepted_total").fetch_add(1);
-  settle(Record);
+  // Settling may erase the record, so it waits until the reply is made.
+  later(Record, request::Duration::zero(), &Home::settle);
   return describe(Record);
 }
 
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -292,18 +292,6 @@
 }
 
 void TaskDispatcher::onViewChange(const ClusterView &View) {
-  std::map<std::string, std::int64_t> Agents;
-  for (const Member &Each : View.Members_)
-    if (Each.Role_ == Role::Agent && canStart(Each))
-      Agents.emplace(Each.Id_, Each.Incarnation_);
-  const bool SomeLost = std::any_of(
-      KnownAgents_.begin(), KnownAgents_.end(), [&](const auto &Known) {
-        const auto Found = Agents.find(Known.first);
-        return Found == Agents.end() || Found->second != Known.second;
-      });
-  KnownAgents_ = std::move(Agents);
-  if (!SomeLost)
-    return;
   std::vector<std::pair<JobKey, TaskIndex>> Ended;
   Jobs_.forEachUnfinished([&](JobRecord &Record) {
     for (TaskIndex I = 0; I < Record.Tasks_.size(); ++I)
--- /dev/null
+++ b/tests/standins/fake_network.h
@@ -0,0 +1,83 @@
+/// \file
+/// \brief Calls between processes in virtual time, with faults.
+#ifndef WIGEONWALL_STANDINS_FAKE_NETWORK_H
+#define WIGEONWALL_STANDINS_FAKE_NETWORK_H
+
+#include "standins/virtual_time.h"
+
+#include "wigeonwall/process/peer_call.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace wigeonwall::standins {
+
+/// \brief What happens to one call.
+struct CallFault {
+  /// Nothing arrives and the caller knows it.
+  bool Refuse_ = false;
+  bool LoseRequest_ = false;
+  bool LoseReply_ = false;
+  /// Added to the time of the request on its way.
+  request::Duration RequestDelay_{0};
+};
+
+/// \brief Nodes by address; a node can be killed, frozen or cut off.
+class FakeNetwork {
+public:
+  /// Chooses the fault of a call; none by default.
+  using FaultHook =
+      std::function<CallFault(const std::string &From, const std::string &To,
+                              const std::string &Method)>;
+
+  explicit FakeNetwork(VirtualTime &Time, request::Duration Latency)
+      : Time_(Time), Latency_(Latency) {}
+
+  void addMethod(const std::string &Address, const std::string &Method,
+                 connection::RpcHandler Handler);
+  [[nodiscard]] process::PeerCall caller(const std::string &From);
+  /// \brief Timers of a node; they stop with it and wait while it is frozen.
+  [[nodiscard]] process::Schedule schedule(const std::string &Address);
+
+  void setFaultHook(FaultHook Hook) { Fault_ = std::move(Hook); }
+  void kill(const std::string &Address) { Killed_.insert(Address); }
+  /// \brief Ends the process at the address; a new one takes its place. Timers
+  /// and callbacks of the old one never run.
+  void restart(const std::string &Address) { ++Generations_[Address]; }
+  void freeze(const std::string &Address, request::Duration Time) {
+    FrozenUntil_[Address] = Time_.now() + Time;
+  }
+  /// \brief Loses all messages between the two addresses, both ways.
+  void cut(const std::string &A, const std::string &B);
+  void heal() { Cuts_.clear(); }
+  [[nodiscard]] bool killed(const std::string &Address) const {
+    return Killed_.count(Address) != 0;
+  }
+  [[nodiscard]] std::uint64_t calls(const std::string &Method) const;
+
+private:
+  struct Exchange;
+
+  /// Runs \p Task on a process: later if it is frozen, never if it has ended.
+  void runOn(const std::string &Address, unsigned Generation,
+             const std::function<void()> &Task);
+  void arrive(const std::shared_ptr<Exchange> &Call);
+  void reply(const std::shared_ptr<Exchange> &Call,
+             connection::RpcResult Result);
+
+  VirtualTime &Time_;
+  request::Duration Latency_;
+  FaultHook Fault_;
+  std::map<std::string, std::map<std::string, connection::RpcHandler>> Nodes_;
+  std::set<std::string> Killed_;
+  std::map<std::string, unsigned> Generations_;
+  std::map<std::string, request::TimePoint> FrozenUntil_;
+  std::set<std::pair<std::string, std::string>> Cuts_;
+  std::map<std::string, std::uint64_t> Calls_;
+};
+
+} // namespace wigeonwall::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/job_cluster.h
@@ -0,0 +1,123 @@
+/// \file
+/// \brief Homes, gateways and entries joined by a FakeNetwork, with a witness
+/// of every start and every answer.
+#ifndef WIGEONWALL_STANDINS_JOB_CLUSTER_H
+#define WIGEONWALL_STANDINS_JOB_CLUSTER_H
+
+#include "standins/fake_network.h"
+
+#include "wigeonwall/process/entry.h"
+#include "wigeonwall/process/home.h"
+#include "wigeonwall/process/minion_gateway.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wigeonwall::standins {
+
+/// \brief One answer that a caller received.
+struct ReceivedAnswer {
+  request::JobKey Key_;
+  request::JobAnswer Answer_;
+  request::TimePoint When_;
+};
+
+/// \brief Agents "a0".."aN" in failure domains "d0".."dM" and entries
+/// "e0".."eK" of the service "permit-desk".
+///
+/// Membership and the map are set by the test, for all processes at once or
+/// for some of them.
+class JobCluster {
+public:
+  struct Shape {
+    unsigned Agents_ = 4;
+    unsigned Domains_ = 3;
+    unsigned Entries_ = 2;
+    unsigned Slots_ = 8;
+  };
+
+  explicit JobCluster(Shape Size);
+  ~JobCluster();
+  JobCluster(const JobCluster &) = delete;
+  JobCluster &operator=(const JobCluster &) = delete;
+
+  [[nodiscard]] VirtualTime &time() noexcept { return Time_; }
+  [[nodiscard]] FakeNetwork &network() noexcept { return Network_; }
+
+  /// \brief A job whose task \p I works for \p WorkMs.
+  [[nodiscard]] request::JobSpec
+  job(const std::string &Id, unsigned Tasks, unsigned WorkMs,
+      std::chrono::milliseconds Timeout = std::chrono::seconds(30)) const;
+  /// \brief Submits through an entry; answers go to answers().
+  void submit(const std::string &Entry, const request::JobSpec &Spec);
+  void cancel(const std::string &Entry, const request::JobKey &Key);
+
+  [[nodiscard]] std::string homeOf(const request::JobSpec &Spec) const;
+  [[nodiscard]] std::string copyOf(const request::JobSpec &Spec) const;
+
+  /// \brief Kills a process; membership and map stay until told.
+  void kill(const std::string &Id);
+  /// \brief Tells the given processes (all when empty) that an agent is dead.
+  void announceDead(const std::string &Id,
+                    const std::vector<std::string> &Observers = {});
+  /// \brief Removes an agent from the map, as seen by the given processes.
+  void removeFromMap(const std::string &Id,
+                     const std::vector<std::string> &Observers = {});
+  /// \brief Gives the newest map to the given processes.
+  void learnMap(const std::vector<std::string> &Observers);
+  /// \brief Starts a new incarnation of an agent; the map gets it.
+  void restart(const std::string &Id);
+  void beginLeaving(const std::string &Id);
+  [[nodiscard]] bool drained(const std::string &Id) const;
+
+  /// \brief Starts by "JOB/TASK" over all minions.
+  [[nodiscard]] const std::map<std::string, unsigned> &starts() const noexcept {
+    return Starts_;
+  }
+  [[nodiscard]] unsigned startsOf(const std::string &JobId) const;
+  [[nodiscard]] const std::vector<ReceivedAnswer> &answers() const noexcept {
+    return Answers_;
+  }
+  [[nodiscard]] std::size_t submissions() const noexcept {
+    return Submissions_;
+  }
+  /// \brief Returns each broken promise: duplicate starts, partial or crossed
+  /// answers, jobs that ran in spite of `not_run`.
+  [[nodiscard]] std::vector<std::string> violations() const;
+
+private:
+  struct AgentNode;
+  struct EntryNode;
+  using View = std::shared_ptr<const process::ClusterView>;
+
+  [[nodiscard]] process::AgentContext context(const std::string &Id);
+  void addAgent(const std::string &Id);
+  void addEntry(const std::string &Id);
+  void tick(const std::string &Id);
+  [[nodiscard]] process::MinionCall minion(const std::string &Id);
+  void change(const std::vector<std::string> &Observers,
+              const std::function<void(process::ClusterView &)> &Edit);
+  [[nodiscard]] std::vector<std::string> everyone() const;
+  [[nodiscard]] std::int64_t wallMs() const;
+
+  Shape Shape_;
+  VirtualTime Time_;
+  FakeNetwork Network_;
+  process::Counters Counters_;
+  version::AgentMap Map_;
+  std::map<std::string, View> Views_;
+  std::map<std::string, std::int64_t> Incarnations_;
+  std::map<std::string, std::unique_ptr<AgentNode>> Agents_;
+  /// Ended processes; their timers still refer to them.
+  std::vector<std::unique_ptr<AgentNode>> Ended_;
+  std::map<std::string, std::unique_ptr<EntryNode>> Entries_;
+  std::map<std::string, unsigned> Starts_;
+  std::vector<ReceivedAnswer> Answers_;
+  std::size_t Submissions_ = 0;
+};
+
+} // namespace wigeonwall::standins
+
+#endif
--- /dev/null
+++ b/tests/unit/job_path_test.cpp
@@ -0,0 +1,219 @@
+/// \file
+/// \brief Guards the promises to callers through resubmission, deaths, freezes
+/// and lost messages, on the real home, gateway and entry in virtual time.
+#include "standins/job_cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall;
+using request::Outcome;
+using request::Reason;
+using standins::JobCluster;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+void checkPromises(const JobCluster &Cluster) {
+  for (const std::string &Each : Cluster.violations())
+    BOOST_ERROR(Each);
+  BOOST_TEST(Cluster.answers().size() == Cluster.submissions());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_job_gets_its_whole_answer) {
+  JobCluster Cluster({});
+  Cluster.submit("e0", Cluster.job("j", 40, 100));
+  Cluster.time().advance(seconds(2));
+  checkPromises(Cluster);
+  BOOST_REQUIRE(Cluster.answers().size() == 1U);
+  BOOST_TEST(Cluster.answers()[0].Answer_.Results_.size() == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(resubmission_joins_the_job_at_any_time) {
+  // Through another entry: at once, while it runs, and after its end.
+  for (const int DelayMs : {0, 1, 50, 5'000, 500'000}) {
+    BOOST_TEST_CONTEXT("delay " << DelayMs << " ms") {
+      JobCluster Cluster({});
+      const auto Spec = Cluster.job("j", 3, 200);
+      Cluster.submit("e0", Spec);
+      Cluster.time().advance(milliseconds(DelayMs));
+      Cluster.submit("e1", Spec);
+      Cluster.time().advance(seconds(5));
+      checkPromises(Cluster);
+      for (const auto &Each : Cluster.answers())
+        BOOST_TEST((Each.Answer_.Outcome_ == Outcome::Complete));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(resubmission_after_the_retention_is_refused) {
+  JobCluster Cluster({});
+  const auto Spec = Cluster.job("j", 3, 200);
+  Cluster.submit("e0", Spec);
+  Cluster.time().advance(seconds(700));
+  Cluster.submit("e1", Spec);
+  Cluster.time().advance(seconds(5));
+  checkPromises(Cluster);
+  BOOST_TEST((Cluster.answers().back().Answer_.Reason_ == Reason::Expired));
+}
+
+BOOST_AUTO_TEST_CASE(resubmission_after_deaths) {
+  // When the resubmission comes relative to the deaths of both holders.
+  struct Case {
+    const char *Name_;
+    bool KillHome_;
+    bool KillCopy_;
+    int KillAfterMs_;
+  };
+  const Case Cases[] = {
+      {"home dies before the copy is prepared", true, false, 1},
+      {"home dies while the job runs", true, false, 100},
+      {"home dies after the answer", true, false, 1'000},
+      {"copy holder dies before it is prepared", false, true, 1},
+      {"copy holder dies while the job runs", false, true, 100},
+      {"both die while the job runs", true, true, 100},
+      {"both die after the answer", true, true, 1'000},
+  };
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT(Each.Name_) {
+      JobCluster Cluster({});
+      const auto Spec = Cluster.job("j", 6, 300);
+      const std::string Home = Cluster.homeOf(Spec);
+      const std::string Copy = Cluster.copyOf(Spec);
+      Cluster.submit("e0", Spec);
+      Cluster.time().advance(milliseconds(Each.KillAfterMs_));
+      for (const auto &[Kill, Id] :
+           {std::pair(Each.KillHome_, Home), std::pair(Each.KillCopy_, Copy)})
+        if (Kill)
+          Cluster.kill(Id);
+      Cluster.time().advance(seconds(5));
+      for (const auto &[Kill, Id] :
+           {std::pair(Each.KillHome_, Home), std::pair(Each.KillCopy_, Copy)})
+        if (Kill) {
+          Cluster.announceDead(Id);
+          Cluster.removeFromMap(Id);
+        }
+      Cluster.submit("e1", Spec);
+      Cluster.time().advance(seconds(40));
+      checkPromises(Cluster);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(frozen_home_comes_back) {
+  // The home is frozen for 30 s at each stage of a job, is replaced, and goes
+  // on with its old state afterwards.
+  for (const int FreezeAfterMs : {0, 1, 2, 3, 4, 5, 100, 1'000}) {
+    BOOST_TEST_CONTEXT("frozen after " << FreezeAfterMs << " ms") {
+      JobCluster Cluster({});
+      const auto Spec = Cluster.job("j", 6, 300, seconds(60));
+      const std::string Home = Cluster.homeOf(Spec);
+      Cluster.submit("e0", Spec);
+      Cluster.time().advance(milliseconds(FreezeAfterMs));
+      Cluster.network().freeze(Home, seconds(30));
+      Cluster.time().advance(seconds(5));
+      std::vector<std::string> Others{"a0", "a1", "a2", "a3", "e0", "e1"};
+      std::erase(Others, Home);
+      Cluster.announceDead(Home, Others);
+      Cluster.removeFromMap(Home, Others);
+      Cluster.submit("e1", Spec);
+      Cluster.time().advance(seconds(90));
+      checkPromises(Cluster);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(frozen_copy_holder_delays_but_does_not_break) {
+  for (const int FreezeAfterMs : {0, 1, 2, 3, 100}) {
+    JobCluster Cluster({});
+    const auto Spec = Cluster.job("j", 6, 300, seconds(60));
+    Cluster.submit("e0", Spec);
+    Cluster.time().advance(milliseconds(FreezeAfterMs));
+    Cluster.network().freeze(Cluster.copyOf(Spec), seconds(30));
+    Cluster.submit("e1", Spec);
+    Cluster.time().advance(seconds(90));
+    checkPromises(Cluster);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(store_outage_leaves_a_dead_home_in_the_map) {
+  // The map cannot change, so the entry asks the copy holder.
+  for (const int KillAfterMs : {1, 100, 1'000}) {
+    JobCluster Cluster({});
+    const auto Spec = Cluster.job("j", 6, 300, seconds(60));
+    Cluster.submit("e0", Spec);
+    Cluster.time().advance(milliseconds(KillAfterMs));
+    Cluster.kill(Cluster.homeOf(Spec));
+    Cluster.time().advance(seconds(5));
+    Cluster.announceDead(Cluster.homeOf(Spec));
+    Cluster.submit("e1", Spec);
+    Cluster.time().advance(seconds(20));
+    checkPromises(Cluster);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refusal_through_the_copy_is_final) {
+  // A first submission that arrives after the caller was told not_run must not
+  // run, even when the home was only unreachable.
+  JobCluster Cluster({});
+  const auto Spec = Cluster.job("j", 2, 50, seconds(60));
+  const std::string Home = Cluster.homeOf(Spec);
+  Cluster.network().cut("e0", Home);
+  Cluster.submit("e0", Spec);
+  Cluster.time().advance(seconds(20));
+  BOOST_REQUIRE(Cluster.answers().size() == 1U);
+  BOOST_TEST((Cluster.answers()[0].Answer_.Outcome_ == Outcome::NotRun));
+  Cluster.submit("e1", Spec);
+  Cluster.time().advance(seconds(70));
+  BOOST_TEST(Cluster.startsOf("j") == 0U);
+  checkPromises(Cluster);
+}
+
+BOOST_AUTO_TEST_CASE(lost_agent_ends_its_jobs_with_a_stated_failure) {
+  JobCluster Cluster({});
+  const auto Spec = Cluster.job("j", 40, 500);
+  const std::string Home = Cluster.homeOf(Spec);
+  const std::string Victim = Home == "a0" ? "a1" : "a0";
+  Cluster.submit("e0", Spec);
+  Cluster.time().advance(milliseconds(100));
+  Cluster.kill(Victim);
+  Cluster.time().advance(seconds(4));
+  Cluster.announceDead(Victim);
+  Cluster.time().advance(seconds(2));
+  checkPromises(Cluster);
+  BOOST_REQUIRE(Cluster.answers().size() == 1U);
+  BOOST_TEST((Cluster.answers()[0].Answer_.Reason_ == Reason::OutcomeUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(restarted_agents_run_new_jobs_and_no_old_ones) {
+  JobCluster Cluster({});
+  const auto Old = Cluster.job("old", 6, 300);
+  Cluster.submit("e0", Old);
+  Cluster.time().advance(seconds(1));
+  for (const char *Id : {"a0", "a1", "a2", "a3"})
+    Cluster.restart(Id);
+  Cluster.time().advance(seconds(10));
+  const auto New = Cluster.job("new", 6, 300);
+  Cluster.submit("e0", New);
+  Cluster.submit("e1", Old);
+  Cluster.time().advance(seconds(40));
+  checkPromises(Cluster);
+  for (const auto &Each : Cluster.answers())
+    if (Each.Key_.Id_ == "new")
+      BOOST_TEST((Each.Answer_.Outcome_ == Outcome::Complete));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_agent_hands_back_and_finishes) {
+  JobCluster Cluster({4, 3, 2, 2});
+  for (int I = 0; I < 20; ++I)
+    Cluster.submit("e0", Cluster.job("j" + std::to_string(I), 4, 300));
+  Cluster.time().advance(milliseconds(200));
+  Cluster.beginLeaving("a1");
+  Cluster.time().advance(seconds(20));
+  checkPromises(Cluster);
+  BOOST_TEST(Cluster.drained("a1"));
+  for (const auto &Each : Cluster.answers())
+    BOOST_TEST((Each.Answer_.Outcome_ == Outcome::Complete));
+}
