Add health tracking and the bound on ejections

Cause: a minion that fails everything quickly looks idle and attracts tasks. Change: HealthTracker scores the outcomes of one minion, ejects it with a back-off of 1 s doubling to 60 s and readmits it after three successful probes, one at a time. honouredEjections() limits what a home honours to the worst third of a service's minions. Conclusion: payload errors alone never eject, because one caller with malformed payloads would otherwise eject every minion.

--- a/packages/request/include/wigeonwall/request.h
+++ b/packages/request/include/wigeonwall/request.h
@@ -11,6 +11,7 @@
 #include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/fault.h"
 #include "wigeonwall/request/fwd.h"
+#include "wigeonwall/request/health.h"
 #include "wigeonwall/request/kind_policy.h"
 #include "wigeonwall/request/types.h"
 // IWYU pragma: end_exports
--- a/packages/request/include/wigeonwall/request/fwd.h
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -8,8 +8,10 @@
 namespace wigeonwall::request {
 
 class FairQueue;
+class HealthTracker;
 class RunTimeEstimator;
 struct AgentLoad;
+struct EjectedMinion;
 struct JobAnswer;
 struct JobKey;
 struct JobSpec;
@@ -18,6 +20,8 @@
 struct QueuedTask;
 struct TaskResult;
 struct TaskSpec;
+enum class HealthState : std::uint8_t;
+enum class MinionOutcome : std::uint8_t;
 enum class QueuePolicy : std::uint8_t;
 enum class Outcome : std::uint8_t;
 enum class Reason : std::uint8_t;
--- /dev/null
+++ b/tests/unit/health_test.cpp
@@ -0,0 +1,140 @@
+/// \file
+/// \brief Guards ejection: a dead minion must not swallow tasks, and a working
+/// one must not be ejected.
+#include "wigeonwall/request/health.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace wigeonwall::request;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+  TimePoint Time_;
+  HealthTracker Health_{[this] { return Time_; }};
+
+  /// s: 200, p: 400, e: 500, c: connection error; each after its own start.
+  void run(const std::string &Outcomes) {
+    for (const char Code : Outcomes)
+      Health_.record(Health_.begin(),
+                     Code == 'c' ? MinionOutcome::ConnectionError
+                                 : classifyStatus(Code == 's'   ? 200
+                                                  : Code == 'p' ? 400
+                                                                : 500));
+  }
+};
+
+struct EjectionCase {
+  const char *Outcomes_;
+  int Repeat_;
+  HealthState Expected_;
+};
+
+const EjectionCase EjectionCases[] = {
+    {"eeeee", 1, HealthState::Ejected},
+    {"ccccc", 1, HealthState::Ejected},
+    {"ssssssss"
+     "eeeee",
+     1, HealthState::Ejected},
+    {"e", 1, HealthState::Healthy},
+    {"se", 100, HealthState::Healthy},
+    {"seess", 100, HealthState::Healthy},
+    {"p", 100, HealthState::Healthy},
+    {"pppeee", 1, HealthState::Ejected},
+};
+
+struct CapCase {
+  std::size_t Total_;
+  std::vector<EjectedMinion> Ejected_;
+  std::vector<std::string> Expected_;
+};
+
+const CapCase CapCases[] = {
+    {11, {{"a", 1}, {"b", 5}, {"c", 3}, {"d", 2}}, {"b", "c", "d"}},
+    {11, {{"a", 1}}, {"a"}},
+    {3, {{"b", 1}, {"a", 1}}, {"a"}},
+    {2, {{"a", 9}, {"b", 9}}, {}},
+};
+
+} // namespace
+
+// Guards against slow ejection, and against ejection by single failures or by
+// malformed payloads.
+BOOST_AUTO_TEST_CASE(outcomes_decide_ejection) {
+  for (const EjectionCase &Case : EjectionCases) {
+    Fixture Minion;
+    for (int I = 0; I < Case.Repeat_; ++I)
+      Minion.run(Case.Outcomes_);
+    BOOST_TEST((Minion.Health_.state() == Case.Expected_), Case.Outcomes_);
+  }
+}
+
+// Guards against hammering a dead minion: each failed probe doubles the
+// back-off up to the maximum.
+BOOST_FIXTURE_TEST_CASE(backoff_doubles_to_the_maximum, Fixture) {
+  run("eeeee");
+  for (const Duration Backoff : {1s, 2s, 4s, 8s, 16s, 32s, 60s, 60s}) {
+    Time_ += Backoff - 1ns;
+    BOOST_TEST(!Health_.canStart());
+    Time_ += 1ns;
+    BOOST_TEST(Health_.canStart());
+    run("e");
+  }
+}
+
+// Guards against a rush onto a minion that has just come back.
+BOOST_FIXTURE_TEST_CASE(probes_run_one_at_a_time, Fixture) {
+  run("eeeee");
+  Time_ += 1s;
+  for (int I = 0; I < 3; ++I) {
+    BOOST_TEST((Health_.state() == HealthState::Probing));
+    const auto Ticket = Health_.begin();
+    BOOST_TEST(!Health_.canStart());
+    Health_.record(Ticket, MinionOutcome::Success);
+  }
+  BOOST_TEST((Health_.state() == HealthState::Healthy));
+}
+
+// Guards against a probe that is cancelled and blocks all later ones.
+BOOST_FIXTURE_TEST_CASE(abandoned_probe_frees_the_next, Fixture) {
+  run("eeeee");
+  Time_ += 1s;
+  Health_.abandon(Health_.begin());
+  BOOST_TEST(Health_.canStart());
+}
+
+// Guards against late failures of tasks from before the ejection, which would
+// count as failed probes and lengthen the back-off.
+BOOST_FIXTURE_TEST_CASE(late_outcomes_are_ignored, Fixture) {
+  const auto Old = Health_.begin();
+  run("eeeee");
+  Time_ += 1s;
+  BOOST_TEST((Health_.state() == HealthState::Probing));
+  Health_.record(Old, MinionOutcome::ServerError);
+  BOOST_TEST(Health_.canStart());
+}
+
+// Guards against a flapping minion that starts over at the first back-off, and
+// against a back-off that is never reset.
+BOOST_FIXTURE_TEST_CASE(backoff_resets_after_healthy_work, Fixture) {
+  const std::string Recover = "sss";
+  run("eeeee");
+  Time_ += 1s;
+  run(Recover + "eeeee");
+  Time_ += 1s;
+  BOOST_TEST((Health_.state() == HealthState::Ejected));
+  Time_ += 1s;
+  run(Recover + std::string(20, 's') + "eeeee");
+  Time_ += 1s;
+  BOOST_TEST((Health_.state() == HealthState::Probing));
+}
+
+// Guards against a service left without minions when all of them fail.
+BOOST_AUTO_TEST_CASE(homes_honour_at_most_a_third) {
+  for (const CapCase &Case : CapCases)
+    BOOST_TEST(honouredEjections(Case.Ejected_, Case.Total_) == Case.Expected_,
+               boost::test_tools::per_element());
+}
