Add placement of tasks on agents

Cause: the tasks of a job have to spread over the agents of a service by load, although each home sees only its own tasks and the reports it receives. Change: Placer keeps a load table per service and chooses by one of three hooks: random, two_choices, least_loaded.

--- a/packages/request/include/wigeonwall/request.h
+++ b/packages/request/include/wigeonwall/request.h
@@ -13,6 +13,7 @@
 #include "wigeonwall/request/fwd.h"
 #include "wigeonwall/request/health.h"
 #include "wigeonwall/request/kind_policy.h"
+#include "wigeonwall/request/placement.h"
 #include "wigeonwall/request/types.h"
 // IWYU pragma: end_exports
 
--- a/packages/request/include/wigeonwall/request/fwd.h
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -9,7 +9,9 @@
 
 class FairQueue;
 class HealthTracker;
+class Placer;
 class RunTimeEstimator;
+struct AgentEntry;
 struct AgentLoad;
 struct EjectedMinion;
 struct JobAnswer;
@@ -17,11 +19,13 @@
 struct JobSpec;
 struct KindKey;
 struct KindPolicy;
+struct PlacementCandidate;
 struct QueuedTask;
 struct TaskResult;
 struct TaskSpec;
 enum class HealthState : std::uint8_t;
 enum class MinionOutcome : std::uint8_t;
+enum class PlacementPolicy : std::uint8_t;
 enum class QueuePolicy : std::uint8_t;
 enum class Outcome : std::uint8_t;
 enum class Reason : std::uint8_t;
