Add admission of jobs at a home

Cause: in a flood a home has to refuse early, so that queues stay short and the other kinds keep their throughput. Change: AdmissionController refuses unknown and closed kinds and teams, exceeded quotas, unreachable deadlines, and under the policy share what exceeds a kind's share and the capacity that the others leave. A home holds the equal part of the service's capacity; while the service has free slots it refuses nothing, because one job of 170 tasks can exceed that part.

--- a/packages/request/include/wigeonwall/request.h
+++ b/packages/request/include/wigeonwall/request.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_REQUEST_H
 
 // IWYU pragma: begin_exports
+#include "wigeonwall/request/admission.h"
 #include "wigeonwall/request/clock.h"
 #include "wigeonwall/request/codec.h"
 #include "wigeonwall/request/enum_names.h"
--- a/packages/request/include/wigeonwall/request/fwd.h
+++ b/packages/request/include/wigeonwall/request/fwd.h
@@ -7,10 +7,12 @@
 
 namespace wigeonwall::request {
 
+class AdmissionController;
 class FairQueue;
 class HealthTracker;
 class Placer;
 class RunTimeEstimator;
+struct AdmissionRequest;
 struct AgentEntry;
 struct AgentLoad;
 struct EjectedMinion;
@@ -21,8 +23,11 @@
 struct KindPolicy;
 struct PlacementCandidate;
 struct QueuedTask;
+struct ServiceCapacity;
 struct TaskResult;
 struct TaskSpec;
+struct TeamQuota;
+enum class AdmissionPolicy : std::uint8_t;
 enum class HealthState : std::uint8_t;
 enum class MinionOutcome : std::uint8_t;
 enum class PlacementPolicy : std::uint8_t;
--- /dev/null
+++ b/packages/request/src/admission.cpp
@@ -0,0 +1,198 @@
+#include "wigeonwall/request/admission.h"
+
+#include <algorithm>
+
+namespace wigeonwall::request {
+
+using detail::AdmissionView;
+using detail::AdmittedKind;
+
+namespace {
+
+/// Least work of one task, so that tasks of no expected run time are bounded.
+constexpr Duration MinTaskWork = std::chrono::milliseconds(1);
+
+/// Weight of a new queue delay in the mean.
+constexpr double DelayWeight = 0.2;
+
+/// Age up to which a queue delay counts. Without this bound a kind whose jobs
+/// are all refused would get no new measurements and stay refused.
+constexpr Duration DelayLifetime = std::chrono::seconds(2);
+
+/// Tasks per slot below which the service as a whole has room. One home alone
+/// then refuses nothing, although a single large job can exceed its part.
+constexpr double RoomLoad = 1.0;
+
+Duration workOf(unsigned Tasks, Duration Work) {
+  return std::max(Work, MinTaskWork * Tasks);
+}
+
+Duration homeCapacity(const ServiceCapacity &Capacity) {
+  return ShareQueueing * Capacity.Slots_ / std::max(1U, Capacity.Homes_);
+}
+
+/// Queue delay to expect now, if a recent measurement tells it.
+std::optional<Duration> recentDelay(const AdmittedKind &Kind, TimePoint Now) {
+  if (Kind.QueueDelay_ && Now - Kind.QueueDelayAt_ <= DelayLifetime)
+    return Kind.QueueDelay_;
+  return std::nullopt;
+}
+
+/// Earliest expected end of the last task, counted from now.
+Duration completionTime(const AdmissionView &View) {
+  const Duration Delay =
+      recentDelay(View.Kind_, View.Now_).value_or(Duration::zero());
+  const Duration OnAllSlots =
+      View.Request_.Work_ / std::max(1U, View.Capacity_.Slots_);
+  return Delay + std::max(View.Request_.LongestRun_, OnAllSlots);
+}
+
+Reason checkShare(const AdmissionView &View) {
+  if (View.Now_ + completionTime(View) > View.Request_.Deadline_)
+    return Reason::DeadlineUnreachable;
+  const Duration Capacity = homeCapacity(View.Capacity_);
+  const auto Share = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(Capacity) * View.Kind_.Share_);
+  const bool WithinShare = View.Kind_.WorkInFlight_ < Share;
+  if (WithinShare || View.TotalWork_ < Capacity || View.ServiceHasRoom_)
+    return Reason::None;
+  return Reason::Overloaded;
+}
+
+} // namespace
+
+AdmissionController::AdmissionController(AdmissionPolicy Policy,
+                                         ServiceCapacity Capacity,
+                                         const std::vector<KindPolicy> &Kinds,
+                                         const std::vector<TeamQuota> &Teams,
+                                         Clock Now, LoadEstimate Load)
+    : Capacity_(Capacity), Now_(std::move(Now)), Load_(std::move(Load)) {
+  if (Policy == AdmissionPolicy::Share)
+    Check_ = checkShare;
+  else
+    Check_ = [](const AdmissionView &) { return Reason::None; };
+  setPolicies(Kinds, Teams);
+}
+
+Reason AdmissionController::admit(const AdmissionRequest &Request) {
+  const auto Found = Kinds_.find(Request.Kind_);
+  if (Found == Kinds_.end() || Found->second.Removed_)
+    return Reason::UnknownKind;
+  AdmittedKind &Kind = Found->second;
+  if (Kind.Policy_.QueueLimit_ == 0)
+    return Reason::LimitIsZero;
+  if (const Reason Why = checkTeam(Request); Why != Reason::None)
+    return Why;
+  const bool HasRoom = Load_ && Load_() < RoomLoad;
+  if (const Reason Why =
+          Check_({Request, Kind, Capacity_, TotalWork_, HasRoom, Now_()});
+      Why != Reason::None)
+    return Why;
+  const Duration Work = workOf(Request.Tasks_, Request.Work_);
+  Kind.TasksInFlight_ += Request.Tasks_;
+  Kind.WorkInFlight_ += Work;
+  TotalWork_ += Work;
+  Teams_[Request.Team_].TasksInFlight_ += Request.Tasks_;
+  return Reason::None;
+}
+
+Reason AdmissionController::checkTeam(const AdmissionRequest &Request) const {
+  const auto Found = Teams_.find(Request.Team_);
+  if (Found == Teams_.end() || Found->second.Removed_)
+    return Reason::UnknownTeam;
+  const Team &Team = Found->second;
+  if (Team.Quota_ == 0)
+    return Reason::LimitIsZero;
+  if (Request.Tasks_ > Team.Quota_)
+    return Reason::TooManyTasks;
+  // Written without a sum: a lowered quota can be below the tasks in flight.
+  if (Team.TasksInFlight_ > Team.Quota_ - Request.Tasks_)
+    return Reason::QuotaExceeded;
+  return Reason::None;
+}
+
+void AdmissionController::release(const std::string &KindName,
+                                  const std::string &TeamName, unsigned Tasks,
+                                  Duration Work) {
+  if (const auto Found = Kinds_.find(KindName); Found != Kinds_.end()) {
+    AdmittedKind &Kind = Found->second;
+    Kind.TasksInFlight_ -= std::min(Kind.TasksInFlight_, Tasks);
+    // The last task takes the rest, so that rounding does not add up.
+    const Duration Freed =
+        Kind.TasksInFlight_ == 0
+            ? Kind.WorkInFlight_
+            : std::min(Kind.WorkInFlight_, workOf(Tasks, Work));
+    Kind.WorkInFlight_ -= Freed;
+    TotalWork_ -= Freed;
+    if (Kind.Removed_ && Kind.TasksInFlight_ == 0)
+      Kinds_.erase(Found);
+  }
+  if (const auto Found = Teams_.find(TeamName); Found != Teams_.end()) {
+    Team &Team = Found->second;
+    Team.TasksInFlight_ -= std::min(Team.TasksInFlight_, Tasks);
+    if (Team.Removed_ && Team.TasksInFlight_ == 0)
+      Teams_.erase(Found);
+  }
+}
+
+void AdmissionController::recordQueueDelay(const std::string &Kind,
+                                           Duration Delay) {
+  const auto Found = Kinds_.find(Kind);
+  if (Found == Kinds_.end())
+    return;
+  AdmittedKind &Entry = Found->second;
+  const TimePoint Now = Now_();
+  const Duration Mean = recentDelay(Entry, Now).value_or(Delay);
+  Entry.QueueDelay_ =
+      Mean +
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double, std::nano>(Delay - Mean) * DelayWeight);
+  Entry.QueueDelayAt_ = Now;
+}
+
+void AdmissionController::setPolicies(const std::vector<KindPolicy> &Kinds,
+                                      const std::vector<TeamQuota> &Teams) {
+  for (auto &[Name, Kind] : Kinds_)
+    Kind.Removed_ = true;
+  for (const KindPolicy &Policy : Kinds) {
+    AdmittedKind &Kind = Kinds_[Policy.Name_];
+    Kind.Policy_ = Policy;
+    Kind.Removed_ = false;
+  }
+  for (auto &[Name, Team] : Teams_)
+    Team.Removed_ = true;
+  for (const TeamQuota &Quota : Teams) {
+    Team &Team = Teams_[Quota.Name_];
+    Team.Quota_ = Quota.MaxTasksInFlight_;
+    Team.Removed_ = false;
+  }
+  const auto IsUnused = [](const auto &Entry) {
+    return Entry.second.Removed_ && Entry.second.TasksInFlight_ == 0;
+  };
+  std::erase_if(Kinds_, IsUnused);
+  std::erase_if(Teams_, IsUnused);
+  assignShares();
+}
+
+void AdmissionController::assignShares() {
+  double Guaranteed = 0.0;
+  double Weights = 0.0;
+  for (const auto &[Name, Kind] : Kinds_) {
+    if (Kind.Removed_)
+      continue;
+    Guaranteed += std::max(0.0, Kind.Policy_.MinShare_);
+    Weights += std::max(0.0, Kind.Policy_.Weight_);
+  }
+  // Guarantees that exceed the capacity together are reduced in proportion.
+  const double Scale = 1.0 / std::max(1.0, Guaranteed);
+  const double Rest = 1.0 - Guaranteed * Scale;
+  for (auto &[Name, Kind] : Kinds_) {
+    const double Weight = std::max(0.0, Kind.Policy_.Weight_);
+    Kind.Share_ = Kind.Removed_
+                      ? 0.0
+                      : std::max(0.0, Kind.Policy_.MinShare_) * Scale +
+                            (Weights > 0.0 ? Rest * Weight / Weights : 0.0);
+  }
+}
+
+} // namespace wigeonwall::request
