Add the configuration document's codec, checks and samples

Cause: Config had no JSON form, so operators' documents could neither be checked nor stored. Change: a JSON Schema checked with valijson, checks of meaning, an encoder, the difference of two documents, and the stored wrapper that lists the last 16 edit ids. All faults are reported at once with JSON pointers. valijson is compiled in config_schema.cpp only. Two sample documents, both loaded by the test. Conclusion: a document is accepted only when each field and the whole fit.

--- a/packages/version/include/wigeonwall/version.h
+++ b/packages/version/include/wigeonwall/version.h
@@ -6,6 +6,10 @@
 
 // IWYU pragma: begin_exports
 #include "wigeonwall/version/agent_map.h"
+#include "wigeonwall/version/config.h"
+#include "wigeonwall/version/config_codec.h"
+#include "wigeonwall/version/config_difference.h"
+#include "wigeonwall/version/config_schema.h"
 #include "wigeonwall/version/fwd.h"
 // IWYU pragma: end_exports
 
--- a/packages/version/include/wigeonwall/version/fwd.h
+++ b/packages/version/include/wigeonwall/version/fwd.h
@@ -6,7 +6,10 @@
 namespace wigeonwall::version {
 
 struct AgentMap;
+struct Config;
+struct ConfigChange;
 struct MapAgent;
+struct StoredConfig;
 
 } // namespace wigeonwall::version
 
