Add wigeonwallctl submit, status and cancel, and the callers' API page

Cause: callers and operators need a command line and a written API before the entry exists. Change: a table of commands over docopt, one file per command; caller_api.h classifies every reply of an entry and refuses answers of another job or with a status that does not fit the outcome. submit repeats the same job through the next entry until there is an answer. docs/caller-api.md states requests, replies and the resubmission rule. The commands are a library, so that tests run them against a fake entry. Conclusion: ctl_commands_test covers 20 replies, exit codes, a dead entry and bad input; nothing has run against a real entry yet.

--- /dev/null
+++ b/apps/wigeonwallctl/answer_output.cpp
@@ -0,0 +1,108 @@
+#include "wigeonwallctl/answer_output.h"
+
+#include "wigeonwall/request/codec.h"
+
+namespace wigeonwall::ctl {
+
+namespace {
+
+std::string kindName(ReplyKind Kind) {
+  return std::string(request::findName(ReplyKindNames, Kind));
+}
+
+void printTable(std::ostream &Out, const request::JobKey &Key,
+                const CallerReply &Reply) {
+  Out << "job      " << Key.Service_ << "/" << Key.Id_ << "\n"
+      << (isFinal(Reply.Kind_) ? "outcome  " : "state    ")
+      << kindName(Reply.Kind_) << "\n";
+  const request::JobAnswer &Answer = Reply.Answer_;
+  if (Reply.Kind_ == ReplyKind::NotRun || Reply.Kind_ == ReplyKind::Failed)
+    Out << "reason   "
+        << request::findName(request::ReasonNames, Answer.Reason_)
+        << "\ndetail   " << Answer.Detail_ << "\n";
+  if (Reply.Kind_ != ReplyKind::Complete)
+    return;
+  Out << "results  " << Answer.Results_.size() << "\n";
+  for (std::size_t I = 0; I < Answer.Results_.size(); ++I)
+    Out << "  " << I << "  " << request::writeJson(Answer.Results_[I]) << "\n";
+}
+
+void printJson(std::ostream &Out, const request::JobKey &Key,
+               const CallerReply &Reply) {
+  Json::Value Value(Json::objectValue);
+  if (isFinal(Reply.Kind_)) {
+    Value = request::encodeAnswer(Reply.Answer_);
+  } else {
+    Value["state"] = kindName(Reply.Kind_);
+    Value["error"] = Reply.Detail_;
+  }
+  Value["service"] = Key.Service_;
+  Value["job_id"] = Key.Id_;
+  Out << request::writeJson(Value) << "\n";
+}
+
+const char *nextStep(ReplyKind Kind) {
+  switch (Kind) {
+  case ReplyKind::NotRun:
+    return "no task started; submit again under a new job id";
+  case ReplyKind::Failed:
+    return "tasks may have run; check their effects before a new submission";
+  case ReplyKind::Running:
+    return "ask again with \"wigeonwallctl status\"";
+  case ReplyKind::UnknownJob:
+    return "check service and job id; records are kept for 600 s";
+  case ReplyKind::Malformed:
+    return "correct the request; see docs/caller-api.md";
+  case ReplyKind::Invalid:
+    return "the entry broke the API; ask \"status\" through another --entry";
+  default:
+    return "repeat the same job (same id, time and content), or name another "
+           "--entry";
+  }
+}
+
+} // namespace
+
+int exitCodeOf(ReplyKind Kind) noexcept {
+  switch (Kind) {
+  case ReplyKind::Complete:
+    return ExitComplete;
+  case ReplyKind::Failed:
+    return ExitFailed;
+  case ReplyKind::Malformed:
+    return ExitUsage;
+  case ReplyKind::NotRun:
+    return ExitNotRun;
+  default:
+    return ExitNoAnswer;
+  }
+}
+
+void printAnswer(Console Streams, bool AsJson, const request::JobKey &Key,
+                 const CallerReply &Reply) {
+  if (AsJson)
+    printJson(Streams.Out_, Key, Reply);
+  else
+    printTable(Streams.Out_, Key, Reply);
+}
+
+int printReply(Console Streams, bool AsJson, const request::JobKey &Key,
+               const CallerReply &Reply) {
+  printAnswer(Streams, AsJson, Key, Reply);
+  if (Reply.Kind_ == ReplyKind::Complete)
+    return ExitComplete;
+  std::string Message =
+      "job " + Key.Service_ + "/" + Key.Id_ + ": " + kindName(Reply.Kind_);
+  if (!Reply.Detail_.empty())
+    Message += ": " + Reply.Detail_;
+  reportError(Streams, Message, nextStep(Reply.Kind_));
+  return exitCodeOf(Reply.Kind_);
+}
+
+int reportBadOption(Console Streams, const OptionFault &Why) {
+  reportError(Streams, Why.Position_ + ": " + Why.Message_,
+              "correct the option; \"--help\" lists the allowed values");
+  return ExitUsage;
+}
+
+} // namespace wigeonwall::ctl
--- /dev/null
+++ b/apps/wigeonwallctl/options.h
@@ -0,0 +1,68 @@
+/// \file
+/// \brief Checked reading of command line options.
+#ifndef WIGEONWALLCTL_OPTIONS_H
+#define WIGEONWALLCTL_OPTIONS_H
+
+#include "wigeonwall/connection/endpoint.h"
+#include "wigeonwall/request/fault.h"
+
+#include <docopt/docopt.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wigeonwall::ctl {
+
+using Arguments = std::map<std::string, docopt::value>;
+
+enum class OptionError : std::uint8_t { None, BadValue };
+
+/// Position_ is the name of the option.
+using OptionFault = request::Fault<OptionError>;
+
+/// \brief Reads options with type and range checks and keeps the first fault.
+///
+/// An option that is not given leaves its output unchanged.
+/// \code
+/// OptionReader Reader(Args, Why);
+/// Reader.integer("--seed", 0, INT64_MAX, Seed);
+/// if (!Reader.finish())
+///   return reportBadOption(Why);
+/// \endcode
+class OptionReader {
+public:
+  OptionReader(const Arguments &Args, OptionFault &Why)
+      : Args_(Args), Why_(Why) {}
+
+  void integer(const char *Name, std::int64_t Min, std::int64_t Max,
+               std::int64_t &Out);
+  void milliseconds(const char *Name, std::int64_t Min, std::int64_t Max,
+                    std::chrono::milliseconds &Out);
+  void number(const char *Name, double Min, double Max, double &Out);
+  void string(const char *Name, std::string &Out);
+  /// \brief Reads a name as the API allows it, so that it needs no escapes in
+  /// a path.
+  void identifier(const char *Name, std::string &Out);
+  void strings(const char *Name, std::vector<std::string> &Out);
+  /// \brief Reads a repeated IP:PORT option; the address in
+  /// `examples/entry.ini` when none is given.
+  void entries(const char *Name, std::vector<connection::Endpoint> &Out);
+  [[nodiscard]] bool flag(const char *Name) const;
+  [[nodiscard]] bool given(const char *Name) const;
+  void fail(const char *Name, std::string Message);
+  [[nodiscard]] bool finish() const noexcept { return !Failed_; }
+
+private:
+  [[nodiscard]] const docopt::value *find(const char *Name) const;
+
+  const Arguments &Args_;
+  OptionFault &Why_;
+  bool Failed_ = false;
+};
+
+} // namespace wigeonwall::ctl
+
+#endif
