Add the document store

Cause: a stale read of the key-value service or an old peer must not revert an accepted document.

Change: version/document_store.h keeps the highest version of a named document with its JSON and calls a hook on change.

Conclusion: document_store_test covers lower, equal and unreadable offers.

--- a/packages/version/include/wigeonwall/version.h
+++ b/packages/version/include/wigeonwall/version.h
@@ -6,6 +6,7 @@
 
 // IWYU pragma: begin_exports
 #include "wigeonwall/version/agent_map.h"
+#include "wigeonwall/version/document_store.h"
 #include "wigeonwall/version/fwd.h"
 // IWYU pragma: end_exports
 
--- /dev/null
+++ b/packages/version/include/wigeonwall/version/document_store.h
@@ -0,0 +1,69 @@
+/// \file
+/// \brief Highest version seen of an agreed document.
+#ifndef WIGEONWALL_VERSION_DOCUMENT_STORE_H
+#define WIGEONWALL_VERSION_DOCUMENT_STORE_H
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace wigeonwall::version {
+
+/// \brief Names of the agreed documents in `document.announce` and
+/// `document.fetch`.
+inline constexpr const char *ConfigDocument = "config";
+inline constexpr const char *MapDocument = "map";
+
+/// \brief Keeps one document and never goes to a lower version.
+///
+/// A read of the key-value service or a peer may return an older version than
+/// the one known; it is ignored.
+/// \code
+/// DocumentStore<AgentMap> Maps(MapDocument, [] { publish(); });
+/// Maps.offer(Map->Epoch_, Map, Source);
+/// \endcode
+template <typename Document> class DocumentStore {
+public:
+  using Observer = std::function<void()>;
+
+  /// \param Changed is called after each accepted version.
+  DocumentStore(std::string Name, Observer Changed)
+      : Name_(std::move(Name)), Changed_(std::move(Changed)) {}
+
+  /// \brief Accepts a higher version; false when nothing changed.
+  /// \param Source is the JSON that peers get.
+  bool offer(std::uint64_t Version, std::shared_ptr<const Document> Value,
+             Json::Value Source) {
+    if (!Value || Version <= Version_)
+      return false;
+    Version_ = Version;
+    Value_ = std::move(Value);
+    Source_ = std::move(Source);
+    Changed_();
+    return true;
+  }
+
+  [[nodiscard]] const std::string &name() const noexcept { return Name_; }
+  /// \brief 0 before the first document.
+  [[nodiscard]] std::uint64_t version() const noexcept { return Version_; }
+  /// \brief Null before the first document.
+  [[nodiscard]] const std::shared_ptr<const Document> &value() const noexcept {
+    return Value_;
+  }
+  [[nodiscard]] const Json::Value &source() const noexcept { return Source_; }
+
+private:
+  std::string Name_;
+  Observer Changed_;
+  std::uint64_t Version_ = 0;
+  std::shared_ptr<const Document> Value_;
+  Json::Value Source_;
+};
+
+} // namespace wigeonwall::version
+
+#endif
--- /dev/null
+++ b/tests/unit/document_store_test.cpp
@@ -0,0 +1,44 @@
+/// \file
+/// \brief Guards against an accepted document that reverts.
+#include "wigeonwall/version/document_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace wigeonwall::version;
+
+namespace {
+
+struct Offer {
+  std::uint64_t Version_;
+  bool Null_;
+  bool Accepted_;
+  std::uint64_t VersionAfter_;
+};
+
+} // namespace
+
+/// A stale read, a repeat or an unreadable document must change nothing and
+/// wake no observer.
+BOOST_AUTO_TEST_CASE(only_a_higher_version_is_accepted) {
+  int Changes = 0;
+  DocumentStore<std::uint64_t> Store(ConfigDocument, [&] { ++Changes; });
+  int Expected = 0;
+  const std::vector<Offer> Offers{{0, false, false, 0}, {4, true, false, 0},
+                                  {4, false, true, 4},  {3, false, false, 4},
+                                  {4, false, false, 4}, {9, true, false, 4},
+                                  {5, false, true, 5}};
+  for (const Offer &Each : Offers) {
+    const auto Value =
+        Each.Null_ ? nullptr
+                   : std::make_shared<const std::uint64_t>(Each.Version_);
+    BOOST_TEST(Store.offer(Each.Version_, Value, Json::UInt64(Each.Version_)) ==
+               Each.Accepted_);
+    Expected += Each.Accepted_ ? 1 : 0;
+    BOOST_TEST(Store.version() == Each.VersionAfter_);
+    BOOST_TEST(Changes == Expected);
+    BOOST_TEST((Store.value() ? *Store.value() : 0) == Each.VersionAfter_);
+    BOOST_TEST(Store.source().asUInt64() == Each.VersionAfter_);
+  }
+}
