Decide placement, admission and ejection through one policy object

Cause: the home, the gateway and the tests each had their own stand-ins for placement and run times. Change: DispatchPolicy joins the placer, the admission controller, the run time estimator and the ejections of one agent; an agent reports an ejected or probed minion with its load; a task's admission account ends with the task. Settings use the policy enumerations of the request package.

--- a/packages/process/include/wigeonwall/process/agent_role.h
+++ b/packages/process/include/wigeonwall/process/agent_role.h
@@ -34,6 +34,7 @@
 
   AgentContext Context_;
   connection::RpcServer Server_;
+  DispatchPolicy Policy_;
   Home Home_;
   MinionGateway Gateway_;
 };
--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_PROCESS_HOME_H
 
 #include "wigeonwall/process/agent_context.h"
+#include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/process/earlier_holders.h"
 #include "wigeonwall/process/task_dispatcher.h"
 #include "wigeonwall/request/job_table.h"
@@ -11,12 +12,6 @@
 
 namespace wigeonwall::process {
 
-/// \brief Decides whether a new job is admitted, and learns when it ends.
-struct AdmissionHooks {
-  std::function<request::Reason(const request::JobSpec &)> Admit_;
-  std::function<void(const request::JobSpec &)> Release_;
-};
-
 /// \brief Runs jobs and answers for their records.
 ///
 /// A job passes through Settling (earlier holders are asked), Preparing (the
@@ -25,8 +20,7 @@
 /// other home can run the job.
 class Home {
 public:
-  Home(AgentContext Context, PlacementHooks Placement,
-       AdmissionHooks Admission);
+  Home(AgentContext Context, DispatchPolicy &Policy);
 
   // Handlers of messages; each returns the reply.
   [[nodiscard]] Json::Value submit(const Json::Value &Params);
@@ -80,7 +74,7 @@
   AgentContext Context_;
   request::JobTable Jobs_;
   request::RecordCopies Copies_;
-  AdmissionHooks Admission_;
+  DispatchPolicy &Policy_;
   EarlierHolders Earlier_;
   TaskDispatcher Dispatcher_;
   CallBatcher Prepares_;
--- a/packages/process/include/wigeonwall/process/minion_gateway.h
+++ b/packages/process/include/wigeonwall/process/minion_gateway.h
@@ -4,9 +4,9 @@
 #define WIGEONWALL_PROCESS_MINION_GATEWAY_H
 
 #include "wigeonwall/connection/http_client.h"
-#include "wigeonwall/process/agent_context.h"
-#include "wigeonwall/request/estimator.h"
+#include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/request/fair_queue.h"
+#include "wigeonwall/request/health.h"
 #include "wigeonwall/request/start_gate.h"
 
 #include <memory>
@@ -26,19 +26,26 @@
   std::chrono::milliseconds DeclaredRun_{0};
   bool NonIdempotent_ = false;
   Json::Value Payload_;
+  request::TimePoint QueuedAt_;
+};
+
+/// \brief How a call of the minion ended.
+struct MinionReply {
+  request::TaskResult Result_;
+  request::MinionOutcome Outcome_ = request::MinionOutcome::Success;
 };
 
 /// \brief Sends a task to the minion; the callback runs once, later.
-using MinionCall = std::function<void(
-    const GatewayTask &Task, std::chrono::milliseconds Timeout,
-    std::function<void(request::TaskResult)> Done)>;
+using MinionCall = std::function<void(const GatewayTask &Task,
+                                      std::chrono::milliseconds Timeout,
+                                      std::function<void(MinionReply)> Done)>;
 
 /// \brief Admits, queues and runs the tasks of one minion, and returns each
 /// result to its home until the home acknowledges it.
 class MinionGateway {
 public:
-  MinionGateway(AgentContext Context, std::string Service,
-                request::QueuePolicy Policy, unsigned Slots, MinionCall Call);
+  MinionGateway(AgentContext Context, const AgentSettings &Options,
+                DispatchPolicy &Policy, MinionCall Call);
 
   /// \brief Handles `task.start`.
   [[nodiscard]] Json::Value start(const Json::Value &Params);
@@ -64,7 +71,8 @@
   void startNext();
   void run(std::uint64_t Ticket);
   void finish(std::uint64_t Ticket, request::TimePoint StartedAt,
-              request::TaskResult Result);
+              request::HealthTracker::Ticket HealthTicket, MinionReply Reply);
+  [[nodiscard]] request::AgentLoad load();
   void handBack(const std::vector<request::QueuedTask> &Tasks,
                 request::Reason Why);
   void report(const GatewayTask &Task, const request::TaskResult &Result);
@@ -73,10 +81,12 @@
   AgentContext Context_;
   std::string Service_;
   request::FairQueue Queue_;
-  request::RunTimeEstimator Estimator_;
+  DispatchPolicy &Policy_;
+  request::HealthTracker Health_;
   MinionCall Call_;
   request::StartGate Gate_;
   CallBatcher Results_;
+  Counters::Value &Starts_;
   std::unordered_map<std::uint64_t, GatewayTask> Queued_;
   std::unordered_map<std::uint64_t, GatewayTask> Running_;
   std::uint64_t ConfigVersion_ = 0;
@@ -85,10 +95,6 @@
   bool Leaving_ = false;
 };
 
-/// \brief Scheduling rules of the kinds of \p Service.
-[[nodiscard]] std::vector<request::KindPolicy>
-kindPolicies(const version::Config &Config, const std::string &Service);
-
 /// \brief Calls a minion by HTTP `POST /run`.
 [[nodiscard]] MinionCall
 makeHttpMinionCall(std::shared_ptr<connection::HttpClient> Client,
--- a/packages/process/include/wigeonwall/process/service_agents.h
+++ b/packages/process/include/wigeonwall/process/role_context.h
@@ -1,22 +1,13 @@
 /// \file
-/// \brief Placement and admission of an agent, made from its settings.
-#ifndef WIGEONWALL_PROCESS_SERVICE_AGENTS_H
-#define WIGEONWALL_PROCESS_SERVICE_AGENTS_H
+/// \brief Set-up that the roles share.
+#ifndef WIGEONWALL_PROCESS_ROLE_CONTEXT_H
+#define WIGEONWALL_PROCESS_ROLE_CONTEXT_H
 
-#include "wigeonwall/process/home.h"
+#include "wigeonwall/process/agent_context.h"
 #include "wigeonwall/process/settings.h"
-#include "wigeonwall/process/task_dispatcher.h"
 
 namespace wigeonwall::process {
 
-/// \brief Hooks that place tasks by \p Policy over the agents of the view.
-[[nodiscard]] PlacementHooks makePlacement(PlacementPolicy Policy,
-                                           AgentContext Context);
-
-/// \brief Hooks that admit jobs by \p Policy.
-[[nodiscard]] AdmissionHooks makeAdmission(AdmissionPolicy Policy,
-                                           AgentContext Context);
-
 /// \brief Context of a role whose parts run on the loop of \p Traffic.
 [[nodiscard]] AgentContext
 makeRoleContext(connection::asio::io_context &Traffic, const Settings &Options,
--- a/packages/process/include/wigeonwall/process/settings.h
+++ b/packages/process/include/wigeonwall/process/settings.h
@@ -8,9 +8,11 @@
 
 #include "wigeonwall/connection/endpoint.h"
 #include "wigeonwall/process/cluster_view.h"
+#include "wigeonwall/request/admission.h"
 #include "wigeonwall/request/enum_names.h"
 #include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/fault.h"
+#include "wigeonwall/request/placement.h"
 
 #include <chrono>
 #include <cstdint>
@@ -21,25 +23,6 @@
 
 namespace wigeonwall::process {
 
-/// \brief How a home chooses the agent of a task.
-enum class PlacementPolicy : std::uint8_t { Random, TwoChoices, LeastLoaded };
-
-inline constexpr std::array<request::EnumName<PlacementPolicy>, 3>
-    PlacementPolicyNames{{
-        {PlacementPolicy::Random, "random"},
-        {PlacementPolicy::TwoChoices, "two_choices"},
-        {PlacementPolicy::LeastLoaded, "least_loaded"},
-    }};
-
-/// \brief Whether jobs beyond the share of their kind are refused early.
-enum class AdmissionPolicy : std::uint8_t { None, Share };
-
-inline constexpr std::array<request::EnumName<AdmissionPolicy>, 2>
-    AdmissionPolicyNames{{
-        {AdmissionPolicy::None, "none"},
-        {AdmissionPolicy::Share, "share"},
-    }};
-
 /// \brief Section `[entry]`.
 struct EntrySettings {
   connection::Endpoint CallersListen_;
@@ -57,9 +40,9 @@
   /// Most connections to the minion.
   std::uint32_t Connections_ = 0;
   std::chrono::milliseconds DrainTimeout_{30'000};
-  PlacementPolicy Placement_ = PlacementPolicy::LeastLoaded;
+  request::PlacementPolicy Placement_ = request::PlacementPolicy::LeastLoaded;
   request::QueuePolicy Queue_ = request::QueuePolicy::Fair;
-  AdmissionPolicy Admission_ = AdmissionPolicy::Share;
+  request::AdmissionPolicy Admission_ = request::AdmissionPolicy::Share;
 };
 
 /// \brief All settings of a process; only the section of its role is filled.
--- a/packages/process/include/wigeonwall/process/task_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/task_dispatcher.h
@@ -4,27 +4,13 @@
 #define WIGEONWALL_PROCESS_TASK_DISPATCHER_H
 
 #include "wigeonwall/process/agent_context.h"
+#include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/request/job_table.h"
 
-#include <optional>
-#include <set>
 #include <string>
 
 namespace wigeonwall::process {
 
-/// \brief Choice of an agent for a task.
-struct PlacementHooks {
-  /// Returns an agent of the service that is not excluded, if there is one.
-  std::function<std::optional<Member>(const std::string &Service,
-                                      const std::set<std::string> &Excluded)>
-      Choose_;
-  /// A task placed at the agent has ended or was refused.
-  std::function<void(const std::string &AgentId)> Release_;
-  /// The agent reported its load.
-  std::function<void(const std::string &AgentId, const request::AgentLoad &)>
-      Report_;
-};
-
 /// \brief Starts tasks at most once each.
 ///
 /// A task is placed again only after its agent said that it did not start, or
@@ -35,7 +21,7 @@
   using EndHook = std::function<void(request::JobRecord &, request::JobAnswer)>;
 
   TaskDispatcher(AgentContext Context, request::JobTable &Jobs,
-                 PlacementHooks Placement, EndHook End);
+                 DispatchPolicy &Policy, EndHook End);
 
   /// \brief Places all tasks of a job that has just become Running.
   void start(request::JobRecord &Record);
@@ -51,6 +37,8 @@
 
 private:
   void place(request::JobRecord &Record, request::TaskIndex Index);
+  void placeAt(request::JobRecord &Record, request::TaskIndex Index,
+               const std::string &AgentId);
   void placeLater(const request::JobRecord &Record, request::TaskIndex Index);
   void send(request::JobRecord &Record, request::TaskIndex Index,
             const Member &Agent);
@@ -58,8 +46,9 @@
   void onStartReply(const request::JobKey &Key, std::uint64_t Serial,
                     request::TaskIndex Index, std::uint32_t Attempt,
                     const ItemReply &Reply);
+  /// \p Reached is false when no message arrived at the agent.
   void onNotStarted(request::JobRecord &Record, request::TaskIndex Index,
-                    request::Reason Why);
+                    request::Reason Why, bool Reached = true);
   void onResult(const std::string &Agent, std::int64_t Incarnation,
                 const Json::Value &Item);
   void endUnstarted(request::JobRecord &Record, request::TaskIndex Index,
@@ -73,10 +62,11 @@
 
   AgentContext Context_;
   request::JobTable &Jobs_;
-  PlacementHooks Placement_;
+  DispatchPolicy &Policy_;
   EndHook End_;
   CallBatcher Starts_;
   CallBatcher Cancels_;
+  Counters::Value &Placements_;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/src/agent_role.cpp
+++ b/packages/process/src/agent_role.cpp
@@ -1,7 +1,7 @@
 #include "wigeonwall/process/agent_role.h"
 
 #include "wigeonwall/process/event_loop.h"
-#include "wigeonwall/process/service_agents.h"
+#include "wigeonwall/process/role_context.h"
 
 namespace wigeonwall::process {
 
@@ -26,10 +26,11 @@
                                ProcessCounters)),
       Server_(Traffic, Options.TrafficListen_, trafficLimits(),
               makeMessageObserver(ProcessCounters)),
-      Home_(Context_, makePlacement(Options.Agent_.Placement_, Context_),
-            makeAdmission(Options.Agent_.Admission_, Context_)),
-      Gateway_(Context_, Options.Agent_.Service_, Options.Agent_.Queue_,
-               Options.Agent_.Slots_, makeMinionCall(Traffic, Options.Agent_)) {
+      Policy_(Options.Agent_, Context_.Now_,
+              static_cast<std::uint64_t>(Incarnation)),
+      Home_(Context_, Policy_),
+      Gateway_(Context_, Options.Agent_, Policy_,
+               makeMinionCall(Traffic, Options.Agent_)) {
   addMethods();
   tickEvery(Context_.After_, TickPeriod, [this] {
     Home_.tick();
@@ -57,6 +58,7 @@
 bool AgentRole::listen() { return Server_.listen(); }
 
 void AgentRole::onViewChange() {
+  Policy_.onViewChange(*Context_.View_());
   Home_.onViewChange();
   Gateway_.onViewChange();
 }
--- a/packages/process/src/entry_role.cpp
+++ b/packages/process/src/entry_role.cpp
@@ -1,7 +1,7 @@
 #include "wigeonwall/process/entry_role.h"
 
 #include "wigeonwall/process/event_loop.h"
-#include "wigeonwall/process/service_agents.h"
+#include "wigeonwall/process/role_context.h"
 
 namespace wigeonwall::process {
 
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -65,12 +65,10 @@
 
 } // namespace
 
-Home::Home(AgentContext Context, PlacementHooks Placement,
-           AdmissionHooks Admission)
+Home::Home(AgentContext Context, DispatchPolicy &Policy)
     : Context_(std::move(Context)), Jobs_(Context_.Now_),
-      Copies_(Context_.Now_), Admission_(std::move(Admission)),
-      Earlier_(Context_),
-      Dispatcher_(Context_, Jobs_, std::move(Placement),
+      Copies_(Context_.Now_), Policy_(Policy), Earlier_(Context_),
+      Dispatcher_(Context_, Jobs_, Policy_,
                   [this](JobRecord &Record, JobAnswer Answer) {
                     end(Record, std::move(Answer));
                   }),
@@ -244,7 +242,7 @@
 void Home::admit(JobRecord &Record) {
   Record.Refusal_ = checkAgainstConfig(Record.Spec_);
   if (!Record.Refusal_) {
-    const Reason Why = Admission_.Admit_(Record.Spec_);
+    const Reason Why = Policy_.admit(Record);
     Record.Admitted_ = Why == Reason::None;
     if (!Record.Admitted_)
       Record.Refusal_ = negative(Outcome::NotRun, Why, "refused by admission");
@@ -313,7 +311,7 @@
   if (Answer.Outcome_ != Outcome::Complete)
     Dispatcher_.cancel(Record);
   if (Record.Admitted_)
-    Admission_.Release_(Record.Spec_);
+    Policy_.releaseRest(Record);
   const bool Recorded = Record.Refusal_.has_value();
   Context_.Counters_
       .counter("jobs_ended_total", "outcome",
@@ -366,7 +364,7 @@
 void Home::sendAway(JobRecord &Record, Json::Value Message) {
   notify(Record, Message);
   if (Record.Admitted_)
-    Admission_.Release_(Record.Spec_);
+    Policy_.releaseRest(Record);
   const JobKey Key = Record.Spec_.Key_;
   Jobs_.erase(Key);
 }
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -41,11 +41,11 @@
 
 } // namespace
 
-MinionGateway::MinionGateway(AgentContext Context, std::string Service,
-                             request::QueuePolicy Policy, unsigned Slots,
-                             MinionCall Call)
-    : Context_(std::move(Context)), Service_(std::move(Service)),
-      Queue_(Policy, Slots, {}, Context_.Now_), Call_(std::move(Call)),
+MinionGateway::MinionGateway(AgentContext Context, const AgentSettings &Options,
+                             DispatchPolicy &Policy, MinionCall Call)
+    : Context_(std::move(Context)), Service_(Options.Service_),
+      Queue_(Options.Queue_, Options.Slots_, {}, Context_.Now_),
+      Policy_(Policy), Health_(Context_.Now_), Call_(std::move(Call)),
       Gate_(Context_.Now_, GateRetention),
       Results_(
           Context_.Call_, Context_.After_, "task.results",
@@ -53,10 +53,11 @@
             Json::Value Header;
             Header["agent"] = Context_.Self_.Id_;
             Header["incarnation"] = Json::Int64(Context_.Self_.Incarnation_);
-            Header["load"] = request::encodeLoad(Queue_.load());
+            Header["load"] = request::encodeLoad(load());
             return Header;
           },
-          nullptr, CallTimeout) {}
+          nullptr, CallTimeout),
+      Starts_(Context_.Counters_.counter("task_starts_total")) {}
 
 Json::Value MinionGateway::start(const Json::Value &Params) {
   const request::HomeIdentity Home = decodeHome(Params["home"]);
@@ -66,7 +67,7 @@
   });
   startNext();
   Reply["agent"] = Context_.Self_.Id_;
-  Reply["load"] = request::encodeLoad(Queue_.load());
+  Reply["load"] = request::encodeLoad(load());
   return Reply;
 }
 
@@ -91,6 +92,7 @@
       std::chrono::milliseconds(Item.get("declared_run_ms", 0).asInt64());
   Task.NonIdempotent_ = Item.get("non_idempotent", false).asBool();
   Task.Payload_ = Item["payload"];
+  Task.QueuedAt_ = Context_.Now_();
   switch (Gate_.admit(Task.Job_, Task.Task_,
                       {Home.Id_, Home.Incarnation_, Epoch, Task.Attempt_})) {
   case GateResult::Repeat:
@@ -115,14 +117,33 @@
   return queued();
 }
 
+request::AgentLoad MinionGateway::load() {
+  request::AgentLoad Load = Queue_.load();
+  switch (Health_.state()) {
+  case request::HealthState::Healthy:
+    break;
+  case request::HealthState::Ejected:
+    Load.EjectedSeverity_ = Health_.severity();
+    break;
+  case request::HealthState::Probing:
+    Load.Slots_ = 1;
+    break;
+  }
+  return Load;
+}
+
 Reason MinionGateway::enqueue(std::uint64_t Ticket, const GatewayTask &Task) {
+  // A minion on probation takes one task at a time; the others are placed
+  // elsewhere at once.
+  if (Health_.state() == request::HealthState::Probing &&
+      (!Queued_.empty() || !Running_.empty()))
+    return Reason::QueueFull;
   request::QueuedTask Entry;
   Entry.Job_ = Task.Job_;
   Entry.Task_ = Task.Task_;
   Entry.Kind_ = Task.Kind_;
   Entry.Deadline_ = Task.Deadline_;
-  Entry.ExpectedRun_ = Estimator_.expectedRun({Task.Job_.Service_, Task.Kind_},
-                                              Task.DeclaredRun_);
+  Entry.ExpectedRun_ = Policy_.expectedRun(Task.Kind_, Task.DeclaredRun_);
   Entry.Ticket_ = Ticket;
   return Queue_.push(std::move(Entry));
 }
@@ -134,31 +155,33 @@
 
 void MinionGateway::run(std::uint64_t Ticket) {
   auto Node = Queued_.extract(Ticket);
-  const GatewayTask &Task = Node.mapped();
   const request::TimePoint Now = Context_.Now_();
+  const GatewayTask &Task =
+      Running_.emplace(Ticket, std::move(Node.mapped())).first->second;
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Task.Deadline_ - Now);
-  Running_.insert(std::move(Node));
-  Context_.Counters_.counter("task_starts_total").fetch_add(1);
+  Policy_.recordQueueDelay(Task.Kind_, Now - Task.QueuedAt_);
+  Starts_.fetch_add(1);
   Call_(Task, std::max(Left, std::chrono::milliseconds(1)),
-        [this, Ticket, Now](TaskResult Result) {
-          finish(Ticket, Now, std::move(Result));
+        [this, Ticket, Now, Health = Health_.begin()](MinionReply Reply) {
+          finish(Ticket, Now, Health, std::move(Reply));
         });
 }
 
 void MinionGateway::finish(std::uint64_t Ticket, request::TimePoint StartedAt,
-                           TaskResult Result) {
+                           request::HealthTracker::Ticket HealthTicket,
+                           MinionReply Reply) {
   const auto Node = Running_.extract(Ticket);
   const GatewayTask &Task = Node.mapped();
-  Result.Index_ = Task.Task_;
-  if (!Result.Started_)
+  Reply.Result_.Index_ = Task.Task_;
+  if (!Reply.Result_.Started_)
     Gate_.refuse(Task.Job_, Task.Task_);
-  if (Result.Reason_ == Reason::None)
-    Estimator_.record({Task.Job_.Service_, Task.Kind_},
-                      Context_.Now_() - StartedAt);
+  Health_.record(HealthTicket, Reply.Outcome_);
+  if (Reply.Result_.Reason_ == Reason::None)
+    Policy_.recordRun(Task.Kind_, Context_.Now_() - StartedAt);
   Queue_.finish(Task.Kind_);
   startNext();
-  report(Task, Result);
+  report(Task, Reply.Result_);
 }
 
 void MinionGateway::handBack(const std::vector<request::QueuedTask> &Tasks,
@@ -237,53 +260,48 @@
 
 namespace {
 
-TaskResult readMinionReply(const connection::HttpResult &Reply) {
-  TaskResult Result;
+MinionReply failed(Reason Why, const std::string &Detail,
+                   request::MinionOutcome Outcome) {
+  MinionReply Reply;
+  Reply.Result_.Reason_ = Why;
+  Reply.Result_.Body_ = Detail;
+  Reply.Outcome_ = Outcome;
+  return Reply;
+}
+
+MinionReply readMinionReply(const connection::HttpResult &Reply) {
+  using request::MinionOutcome;
   if (Reply.Error_ == connection::TransportError::NotSent)
-    return notStarted(0, Reason::NoMinion);
-  if (Reply.Error_ == connection::TransportError::Ambiguous) {
-    Result.Reason_ = Reason::OutcomeUnknown;
-    Result.Body_ = "no reply from the minion: " + Reply.Detail_;
-    return Result;
-  }
+    return {notStarted(0, Reason::NoMinion), MinionOutcome::ConnectionError};
+  if (Reply.Error_ == connection::TransportError::Ambiguous)
+    return failed(Reason::OutcomeUnknown,
+                  "no reply from the minion: " + Reply.Detail_,
+                  MinionOutcome::ConnectionError);
   const connection::HttpResponse &Response = Reply.Response_;
   if (Response.Status_ == 503 &&
       connection::findHeader(Response.Headers_, "x-not-started") == "1")
-    return notStarted(0, Reason::QueueFull);
-  if (Response.Status_ != 200) {
-    Result.Reason_ = Reason::TaskFailed;
-    Result.Body_ = "the minion answered " + std::to_string(Response.Status_);
-    return Result;
-  }
+    return {notStarted(0, Reason::QueueFull), MinionOutcome::PayloadError};
+  if (Response.Status_ != 200)
+    return failed(Reason::TaskFailed,
+                  "the minion answered " + std::to_string(Response.Status_),
+                  request::classifyStatus(Response.Status_));
   request::CodecFault Why;
-  if (auto Body = request::parseJson(Response.Body_, Why)) {
-    Result.Body_ = std::move(*Body);
-    return Result;
-  }
-  Result.Reason_ = Reason::TaskFailed;
-  Result.Body_ = "the minion's result is not JSON";
+  auto Body = request::parseJson(Response.Body_, Why);
+  if (!Body)
+    return failed(Reason::TaskFailed, "the minion's result is not JSON",
+                  MinionOutcome::ServerError);
+  MinionReply Result;
+  Result.Result_.Body_ = std::move(*Body);
   return Result;
 }
 
 } // namespace
 
-std::vector<request::KindPolicy> kindPolicies(const version::Config &Config,
-                                              const std::string &Service) {
-  std::vector<request::KindPolicy> Result;
-  const auto *Found = Config.findService(Service);
-  if (Found == nullptr)
-    return Result;
-  for (const version::KindConfig &Kind : Found->Kinds_)
-    Result.push_back({Kind.Name_, Kind.Urgency_, Kind.Weight_, Kind.MinShare_,
-                      Kind.QueueLimit_});
-  return Result;
-}
-
 MinionCall makeHttpMinionCall(std::shared_ptr<connection::HttpClient> Client,
                               connection::Endpoint Minion) {
   return [Client = std::move(Client), Minion = std::move(Minion)](
              const GatewayTask &Task, std::chrono::milliseconds Timeout,
-             std::function<void(TaskResult)> Done) {
+             std::function<void(MinionReply)> Done) {
     Json::Value Body;
     writeJobKey(Body, Task.Job_);
     Body["task"] = Task.Task_;
--- a/packages/process/src/settings_keys.cpp
+++ b/packages/process/src/settings_keys.cpp
@@ -191,7 +191,8 @@
        }},
       {Section, "placement", false,
        [](auto &Text, Settings &To) {
-         return readEnum(Text, PlacementPolicyNames, To.Agent_.Placement_);
+         return readEnum(Text, request::PlacementPolicyNames,
+                         To.Agent_.Placement_);
        }},
       {Section, "queue", false,
        [](auto &Text, Settings &To) {
@@ -199,7 +200,8 @@
        }},
       {Section, "admission", false,
        [](auto &Text, Settings &To) {
-         return readEnum(Text, AdmissionPolicyNames, To.Agent_.Admission_);
+         return readEnum(Text, request::AdmissionPolicyNames,
+                         To.Agent_.Admission_);
        }},
   };
 }
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -37,9 +37,9 @@
 } // namespace
 
 TaskDispatcher::TaskDispatcher(AgentContext Context, request::JobTable &Jobs,
-                               PlacementHooks Placement, EndHook End)
-    : Context_(std::move(Context)), Jobs_(Jobs),
-      Placement_(std::move(Placement)), End_(std::move(End)),
+                               DispatchPolicy &Policy, EndHook End)
+    : Context_(std::move(Context)), Jobs_(Jobs), Policy_(Policy),
+      End_(std::move(End)),
       Starts_(
           Context_.Call_, Context_.After_, "task.start",
           [this] {
@@ -51,45 +51,61 @@
           [this](const Json::Value &Reply) {
             request::CodecFault Why;
             if (auto Load = request::decodeLoad(Reply["load"], Why))
-              Placement_.Report_(Reply["agent"].asString(), *Load);
+              Policy_.report(Reply["agent"].asString(), Reply["items"].size(),
+                             *Load);
           },
           CallTimeout),
       Cancels_(
           Context_.Call_, Context_.After_, "task.cancel",
-          [] { return Json::Value(Json::objectValue); }, nullptr, CallTimeout) {
-}
+          [] { return Json::Value(Json::objectValue); }, nullptr, CallTimeout),
+      Placements_(Context_.Counters_.counter("task_placements_total")) {}
 
 void TaskDispatcher::start(JobRecord &Record) {
   const JobKey Key = Record.Spec_.Key_;
   const std::uint64_t Serial = Record.Serial_;
   const auto Count = static_cast<TaskIndex>(Record.Tasks_.size());
+  const auto Agents = Policy_.choose(Count, {});
   for (TaskIndex I = 0; I < Count; ++I) {
+    // Placing a task may end the job.
     JobRecord *Current = Jobs_.find(Key, Serial);
-    if (Current == nullptr || Current->State_ != JobState::Running)
+    if (Current == nullptr || Current->State_ != JobState::Running) {
+      for (TaskIndex Rest = I; Rest < Agents.size(); ++Rest)
+        Policy_.withdraw(Agents[Rest]);
       return;
-    place(*Current, I);
+    }
+    if (Agents.empty())
+      place(*Current, I);
+    else
+      placeAt(*Current, I, Agents[I]);
   }
 }
 
 void TaskDispatcher::place(JobRecord &Record, TaskIndex Index) {
   TaskRecord &Task = Record.Tasks_[Index];
-  const auto Agent =
-      Placement_.Choose_(Record.Spec_.Key_.Service_, Task.Refused_);
-  if (!Agent) {
-    // After every agent refused once, all of them may be asked again.
-    Task.Refused_.clear();
-    if (++Task.Attempts_ > MaxPlacements)
-      return endUnstarted(Record, Index, Reason::NoMinion);
-    return placeLater(Record, Index);
-  }
-  if (++Task.Attempts_ > MaxPlacements) {
-    Placement_.Release_(Agent->Id_);
-    return endUnstarted(Record, Index, Reason::QueueFull);
+  const auto Agents = Policy_.choose(1, Task.Refused_);
+  if (!Agents.empty())
+    return placeAt(Record, Index, Agents.front());
+  // After every agent refused once, all of them may be asked again.
+  Task.Refused_.clear();
+  if (++Task.Attempts_ > MaxPlacements)
+    return endUnstarted(Record, Index, Reason::NoMinion);
+  placeLater(Record, Index);
+}
+
+void TaskDispatcher::placeAt(JobRecord &Record, TaskIndex Index,
+                             const std::string &AgentId) {
+  TaskRecord &Task = Record.Tasks_[Index];
+  const auto View = Context_.View_();
+  const Member *Agent = View->findMember(AgentId);
+  if (Agent == nullptr || ++Task.Attempts_ > MaxPlacements) {
+    Policy_.withdraw(AgentId);
+    return Agent == nullptr ? placeLater(Record, Index)
+                            : endUnstarted(Record, Index, Reason::QueueFull);
   }
   Task.State_ = TaskState::Placed;
   Task.Agent_ = Agent->Id_;
   Task.AgentIncarnation_ = Agent->Incarnation_;
-  Context_.Counters_.counter("task_placements_total").fetch_add(1);
+  Placements_.fetch_add(1);
   send(Record, Index, *Agent);
 }
 
@@ -165,7 +181,7 @@
   if (Task.State_ != TaskState::Placed || Task.Attempts_ != Attempt)
     return;
   if (Reply.Error_ == connection::TransportError::NotSent && !Task.Ambiguous_)
-    return onNotStarted(*Record, Index, Reason::NoMinion);
+    return onNotStarted(*Record, Index, Reason::NoMinion, false);
   if (!Reply.ok()) {
     Task.Ambiguous_ = true;
     return resendLater(*Record, Index);
@@ -186,9 +202,12 @@
 }
 
 void TaskDispatcher::onNotStarted(JobRecord &Record, TaskIndex Index,
-                                  Reason Why) {
+                                  Reason Why, bool Reached) {
   TaskRecord &Task = Record.Tasks_[Index];
-  Placement_.Release_(Task.Agent_);
+  if (Reached)
+    Policy_.finish(Task.Agent_);
+  else
+    Policy_.withdraw(Task.Agent_);
   Task.State_ = TaskState::Unplaced;
   Task.Ambiguous_ = false;
   // A stale epoch says nothing about the agent; it may be asked again.
@@ -205,7 +224,7 @@
       static_cast<std::int64_t>(readUnsigned(Params, "incarnation"));
   request::CodecFault Why;
   if (auto Load = request::decodeLoad(Params["load"], Why))
-    Placement_.Report_(Agent, *Load);
+    Policy_.report(Agent, 0, *Load);
   return handleItems(Params, [&](const Json::Value &Item) {
     onResult(Agent, Incarnation, Item);
     return Json::Value(Json::objectValue);
@@ -235,7 +254,8 @@
   if (Result->Reason_ != Reason::None)
     return endFailed(*Record, Result->Index_, Result->Reason_,
                      request::writeJson(Result->Body_));
-  Placement_.Release_(Agent);
+  Policy_.finish(Agent);
+  Policy_.releaseTask(*Record, Result->Index_);
   Jobs_.completeTask(*Record, Result->Index_, std::move(Result->Body_));
   if (!request::JobTable::complete(*Record))
     return;
@@ -252,7 +272,7 @@
   for (const TaskRecord &Task : Record.Tasks_) {
     if (Task.State_ != TaskState::Placed)
       continue;
-    Placement_.Release_(Task.Agent_);
+    Policy_.finish(Task.Agent_);
     if (!lost(Task, *View))
       Agents.insert(Task.Agent_);
   }
--- a/packages/request/include/wigeonwall/request/job_table.h
+++ b/packages/request/include/wigeonwall/request/job_table.h
@@ -54,6 +54,8 @@
   std::uint32_t Attempts_ = 0;
   /// A start message of this placement went without a reply.
   bool Ambiguous_ = false;
+  /// Run time for which admission counts the task.
+  Duration ExpectedRun_{0};
   Json::Value Result_;
 };
 
--- a/packages/request/include/wigeonwall/request/types.h
+++ b/packages/request/include/wigeonwall/request/types.h
@@ -157,7 +157,11 @@
 struct AgentLoad {
   std::uint32_t Running_ = 0;
   std::uint32_t Queued_ = 0;
+  /// Tasks that the minion takes at a time; fewer while it is being probed.
   std::uint32_t Slots_ = 0;
+  /// Above 0 while the minion is ejected, higher for worse ones; see
+  /// HealthTracker::severity().
+  double EjectedSeverity_ = 0.0;
 };
 
 } // namespace wigeonwall::request
--- a/packages/request/src/codec.cpp
+++ b/packages/request/src/codec.cpp
@@ -196,6 +196,8 @@
   Value["running"] = Load.Running_;
   Value["queued"] = Load.Queued_;
   Value["slots"] = Load.Slots_;
+  if (Load.EjectedSeverity_ > 0)
+    Value["ejected"] = Load.EjectedSeverity_;
   return Value;
 }
 
@@ -207,11 +209,14 @@
   Reader.integer("running", 0, UINT32_MAX, Running);
   Reader.integer("queued", 0, UINT32_MAX, Queued);
   Reader.integer("slots", 0, UINT32_MAX, Slots);
+  Json::Value Ejected;
+  Reader.any("ejected", Ejected);
   if (!Reader.finish())
     return std::nullopt;
   return AgentLoad{static_cast<std::uint32_t>(Running),
                    static_cast<std::uint32_t>(Queued),
-                   static_cast<std::uint32_t>(Slots)};
+                   static_cast<std::uint32_t>(Slots),
+                   Ejected.isNumeric() ? Ejected.asDouble() : 0.0};
 }
 
 } // namespace wigeonwall::request
--- a/tests/standins/job_cluster.cpp
+++ b/tests/standins/job_cluster.cpp
@@ -34,28 +34,12 @@
   return Config;
 }
 
-/// The agent with the fewest tasks of this home; enough for these tests.
-process::PlacementHooks fewestTasks(
-    const std::function<std::shared_ptr<const process::ClusterView>()> &View) {
-  auto Own = std::make_shared<std::map<std::string, int>>();
-  process::PlacementHooks Hooks;
-  Hooks.Choose_ = [Own, View](const std::string &,
-                              const std::set<std::string> &Excluded) {
-    std::optional<Member> Best;
-    for (const Member &Each : View()->Members_) {
-      if (Each.Role_ != process::Role::Agent ||
-          Each.State_ != MemberState::Alive || Excluded.count(Each.Id_) != 0)
-        continue;
-      if (!Best || (*Own)[Each.Id_] < (*Own)[Best->Id_])
-        Best = Each;
-    }
-    if (Best)
-      ++(*Own)[Best->Id_];
-    return Best;
-  };
-  Hooks.Release_ = [Own](const std::string &Id) { --(*Own)[Id]; };
-  Hooks.Report_ = [](const std::string &, const request::AgentLoad &) {};
-  return Hooks;
+process::AgentSettings agentSettings(unsigned Slots) {
+  process::AgentSettings Settings;
+  Settings.Service_ = Service;
+  Settings.Slots_ = Slots;
+  Settings.Admission_ = request::AdmissionPolicy::None;
+  return Settings;
 }
 
 } // namespace
@@ -63,12 +47,18 @@
 struct JobCluster::AgentNode {
   AgentNode(const process::AgentContext &Context, unsigned Slots,
             process::MinionCall Call)
-      : Home_(Context, fewestTasks(Context.View_),
-              {[](const JobSpec &) { return request::Reason::None; },
-               [](const JobSpec &) {}}),
-        Gateway_(Context, Service, request::QueuePolicy::Fair, Slots,
-                 std::move(Call)) {}
+      : Settings_(agentSettings(Slots)), Policy_(Settings_, Context.Now_, 1),
+        Home_(Context, Policy_),
+        Gateway_(Context, Settings_, Policy_, std::move(Call)) {}
+
+  void onViewChange(const process::ClusterView &View) {
+    Policy_.onViewChange(View);
+    Home_.onViewChange();
+    Gateway_.onViewChange();
+  }
 
+  process::AgentSettings Settings_;
+  process::DispatchPolicy Policy_;
   process::Home Home_;
   process::MinionGateway Gateway_;
 };
@@ -154,7 +144,7 @@
   Add("task.start", Node->Gateway_, &process::MinionGateway::start);
   Add("task.cancel", Node->Gateway_, &process::MinionGateway::cancel);
   Agents_[Id] = std::move(Node);
-  Agents_[Id]->Gateway_.onViewChange();
+  Agents_[Id]->onViewChange(*Views_.at(Id));
   tick(Id);
 }
 
@@ -185,11 +175,11 @@
 
 process::MinionCall JobCluster::minion(const std::string &Id) {
   return [this, Id](const process::GatewayTask &Task, std::chrono::milliseconds,
-                    std::function<void(request::TaskResult)> Done) {
+                    std::function<void(process::MinionReply)> Done) {
     ++Starts_[Task.Job_.Id_ + "/" + std::to_string(Task.Task_)];
-    request::TaskResult Result;
-    Result.Body_["job"] = Task.Job_.Id_;
-    Result.Body_["task"] = Task.Task_;
+    process::MinionReply Result;
+    Result.Result_.Body_["job"] = Task.Job_.Id_;
+    Result.Result_.Body_["task"] = Task.Task_;
     const std::chrono::milliseconds Work(Task.Payload_["work_ms"].asInt64());
     Network_.schedule(Id)(Work,
                           [Done = std::move(Done), Result] { Done(Result); });
@@ -256,8 +246,7 @@
       const auto Agent = Agents_.find(Id);
       if (Agent == Agents_.end())
         return;
-      Agent->second->Home_.onViewChange();
-      Agent->second->Gateway_.onViewChange();
+      Agent->second->onViewChange(*Views_.at(Id));
     });
   }
 }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace wigeonwall::process;
+namespace request = wigeonwall::request;
 
 namespace {
 
@@ -115,7 +116,8 @@
   BOOST_TEST(Loaded->Store_.at(1).Host_ == "::1");
   BOOST_TEST(Loaded->Agent_.Minion_.Port_ == 4);
   BOOST_TEST(Loaded->Agent_.DrainTimeout_.count() == 30'000);
-  BOOST_TEST((Loaded->Agent_.Placement_ == PlacementPolicy::LeastLoaded));
+  BOOST_TEST(
+      (Loaded->Agent_.Placement_ == request::PlacementPolicy::LeastLoaded));
 }
 
 // Guards against inih splitting a line that is longer than its buffer.
