--- /dev/null
+++ b/packages/process/include/wigeonwall/process/map_maintainer.h
@@ -0,0 +1,96 @@
+/// \file
+/// \brief Writes joins and departures of agents into the map.
+#ifndef WIGEONWALL_PROCESS_MAP_MAINTAINER_H
+#define WIGEONWALL_PROCESS_MAP_MAINTAINER_H
+
+#include "wigeonwall/connection/key_value_store.h"
+#include "wigeonwall/process/alive_token.h"
+#include "wigeonwall/process/membership.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace wigeonwall::process {
+
+struct MapMaintainerOptions {
+  /// Joins and departures are gathered this long.
+  request::Duration GatherTime_ = std::chrono::milliseconds(500);
+  /// Further wait per place in the order of proposers.
+  request::Duration ProposerStep_ = std::chrono::seconds(1);
+  /// After a failed call of the key-value service; up to twice as long.
+  request::Duration RetryTime_ = std::chrono::seconds(1);
+  /// Until an agent of the map that membership never heard of counts as dead.
+  request::Duration UnknownTime_ = std::chrono::seconds(10);
+  /// Without peers, for this long after the start no map is written: the seeds
+  /// may not have answered yet.
+  request::Duration AloneTime_ = std::chrono::seconds(3);
+};
+
+struct MapMaintainerHooks {
+  /// The map known now, or null.
+  std::function<std::shared_ptr<const version::AgentMap>()> Map_;
+  /// A map read from or written to the key-value service.
+  std::function<void(const Json::Value &Source)> Found_;
+  std::function<std::int64_t()> WallClockMs_;
+  /// How long departed agents stay in the map.
+  std::function<std::int64_t()> RetentionMs_;
+  std::function<void(const std::string &Line)> Report_;
+};
+
+/// \brief Proposes map changes by compare-and-swap when it is the turn of this
+/// process; an entry never proposes.
+class MapMaintainer {
+public:
+  MapMaintainer(connection::KeyValueStore &Store, const Membership &Members,
+                request::Clock Clock, std::mt19937_64 Random,
+                MapMaintainerOptions Options, MapMaintainerHooks Hooks);
+
+  /// \brief Call about every 100 ms.
+  void tick();
+  /// \brief Removes this process from the map; \p Done is called once the map
+  /// is written or 3 attempts have failed.
+  void removeOwn(std::int64_t StoppedAtMs, std::function<void()> Done);
+
+private:
+  using ChangeSource =
+      std::function<version::MapChange(const version::AgentMap &)>;
+  enum class Outcome : std::uint8_t { Written, NothingToDo, Failed };
+  using Finished = std::function<void(Outcome)>;
+
+  [[nodiscard]] version::MapChange wanted(const version::AgentMap &Map);
+  void addJoins(const version::AgentMap &Map, version::MapChange &Change) const;
+  void addRemovals(const version::AgentMap &Map, version::MapChange &Change);
+  [[nodiscard]] bool seesMajority(const version::AgentMap &Map) const;
+  [[nodiscard]] bool isUnknownForLong(const std::string &Id);
+  [[nodiscard]] std::size_t ownRank(version::Epoch Current) const;
+  [[nodiscard]] version::AgentMap known() const;
+
+  void attempt(ChangeSource Change, Finished Done);
+  void write(const std::optional<connection::StoreEntry> &Entry,
+             const ChangeSource &Change, const Finished &Done);
+  void retryRemoval(const version::MapChange::Removal &Own, unsigned Attempts,
+                    const std::function<void()> &Done);
+  [[nodiscard]] request::Duration retryDelay();
+
+  connection::KeyValueStore &Store_;
+  const Membership &Members_;
+  request::Clock Clock_;
+  std::mt19937_64 Random_;
+  MapMaintainerOptions Options_;
+  MapMaintainerHooks Hooks_;
+  request::TimePoint Start_;
+  /// When the current change was first wanted, under which epoch.
+  std::optional<request::TimePoint> WantedSince_;
+  version::Epoch WantedEpoch_ = 0;
+  request::TimePoint NextAttempt_;
+  bool Writing_ = false;
+  std::map<std::string, request::TimePoint> UnknownSince_;
+  AliveToken Alive_;
+};
+
+} // namespace wigeonwall::process
+
+#endif
--- /dev/null
+++ b/packages/process/src/seed_joiner.cpp
@@ -0,0 +1,34 @@
+#include "wigeonwall/process/seed_joiner.h"
+
+#include <algorithm>
+
+namespace wigeonwall::process {
+
+namespace {
+
+/// Groups that form apart do so while many processes start together.
+constexpr request::Duration YoungTime = std::chrono::seconds(10);
+
+} // namespace
+
+SeedJoiner::SeedJoiner(std::vector<std::string> Seeds, SeedPeriods Periods,
+                       request::Clock Clock, std::mt19937_64 Random)
+    : Seeds_(std::move(Seeds)), Periods_(Periods), Clock_(std::move(Clock)),
+      Random_(Random), Start_(Clock_()), Next_(Start_) {
+  std::shuffle(Seeds_.begin(), Seeds_.end(), Random_);
+}
+
+std::optional<std::string> SeedJoiner::next(bool Alone) {
+  const auto Now = Clock_();
+  if (Seeds_.empty() || Now < Next_)
+    return std::nullopt;
+  const bool Often = Alone || Now - Start_ < YoungTime;
+  Next_ = Now + (Often ? Periods_.Join_ : Periods_.Probe_);
+  return Seeds_[Position_++ % Seeds_.size()];
+}
+
+void SeedJoiner::reachedSelf() {
+  Next_ = std::min(Next_, Clock_() + Periods_.SelfJoin_);
+}
+
+} // namespace wigeonwall::process
