--- a/packages/process/include/wigeonwall/process/fwd.h
+++ b/packages/process/include/wigeonwall/process/fwd.h
@@ -5,6 +5,7 @@
 
 namespace wigeonwall::process {
 
+class ConfigWriter;
 class Counters;
 
 } // namespace wigeonwall::process
