Add wigeonwallctl load

Cause: response ratio, throughput in a flood and broken answers have to be measured from the side of the callers, without slowing down when answers do.

--- a/apps/wigeonwallctl/command.h
+++ b/apps/wigeonwallctl/command.h
@@ -51,6 +51,8 @@
 int runStatus(const Arguments &Args, Console Streams);
 extern const char CancelUsage[];
 int runCancel(const Arguments &Args, Console Streams);
+extern const char LoadUsage[];
+int runLoad(const Arguments &Args, Console Streams);
 
 } // namespace wigeonwall::ctl
 
--- a/apps/wigeonwallctl/commands.cpp
+++ b/apps/wigeonwallctl/commands.cpp
@@ -42,6 +42,7 @@
       {"submit", "submits a job and prints its answer", SubmitUsage, runSubmit},
       {"status", "prints the state or answer of a job", StatusUsage, runStatus},
       {"cancel", "cancels a job", CancelUsage, runCancel},
+      {"load", "sends a workload and measures the answers", LoadUsage, runLoad},
   };
   return Table;
 }
--- a/apps/wigeonwallctl/options.cpp
+++ b/apps/wigeonwallctl/options.cpp
@@ -18,6 +18,15 @@
 
 } // namespace
 
+std::optional<double> parseNumber(const std::string &Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto [Last, Code] = std::from_chars(Text.data(), End, Value);
+  if (Code != std::errc() || Last != End)
+    return std::nullopt;
+  return Value;
+}
+
 const docopt::value *OptionReader::find(const char *Name) const {
   const auto Found = Args_.find(Name);
   return Found == Args_.end() || !Found->second ? nullptr : &Found->second;
@@ -69,14 +78,12 @@
   if (Option == nullptr)
     return;
   const std::string &Text = Option->asString();
-  double Value = 0;
-  const char *End = Text.data() + Text.size();
-  const auto [Last, Code] = std::from_chars(Text.data(), End, Value);
+  const auto Value = parseNumber(Text);
   // Written so that NaN fails too.
-  if (Code != std::errc() || Last != End || !(Value >= Min && Value <= Max))
+  if (!Value || !(*Value >= Min && *Value <= Max))
     return fail(Name, "expected a number from " + formatNumber(Min) + " to " +
                           formatNumber(Max) + ", got \"" + Text + "\"");
-  Out = Value;
+  Out = *Value;
 }
 
 void OptionReader::string(const char *Name, std::string &Out) {
--- a/apps/wigeonwallctl/options.h
+++ b/apps/wigeonwallctl/options.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
 /// Position_ is the name of the option.
 using OptionFault = request::Fault<OptionError>;
 
+/// \brief Parses a decimal number; empty when other text is left.
+[[nodiscard]] std::optional<double> parseNumber(const std::string &Text);
+
 /// \brief Reads options with type and range checks and keeps the first fault.
 ///
 /// An option that is not given leaves its output unchanged.
