Add wigeonwallctl replay and generate-trace

Cause: recorded traces are to be replayed against stated outcomes. Change: a JSON Lines trace with offset, job and allowed outcomes; replay uses the engine and checks of load and exits with 1 on any deviation; generate-trace writes such traces from a profile, seed and flood.

--- a/apps/wigeonwallctl/command.h
+++ b/apps/wigeonwallctl/command.h
@@ -53,6 +53,10 @@
 int runCancel(const Arguments &Args, Console Streams);
 extern const char LoadUsage[];
 int runLoad(const Arguments &Args, Console Streams);
+extern const char ReplayUsage[];
+int runReplay(const Arguments &Args, Console Streams);
+extern const char GenerateTraceUsage[];
+int runGenerateTrace(const Arguments &Args, Console Streams);
 
 } // namespace wigeonwall::ctl
 
--- a/apps/wigeonwallctl/commands.cpp
+++ b/apps/wigeonwallctl/commands.cpp
@@ -43,6 +43,10 @@
       {"status", "prints the state or answer of a job", StatusUsage, runStatus},
       {"cancel", "cancels a job", CancelUsage, runCancel},
       {"load", "sends a workload and measures the answers", LoadUsage, runLoad},
+      {"replay", "replays a trace against its expected outcomes", ReplayUsage,
+       runReplay},
+      {"generate-trace", "writes a trace of a workload", GenerateTraceUsage,
+       runGenerateTrace},
   };
   return Table;
 }
--- /dev/null
+++ b/apps/wigeonwallctl/replay.cpp
@@ -0,0 +1,157 @@
+#include "wigeonwallctl/answer_output.h"
+#include "wigeonwallctl/load_stats.h"
+#include "wigeonwallctl/run_options.h"
+#include "wigeonwallctl/trace_file.h"
+
+#include <algorithm>
+#include <map>
+
+namespace wigeonwall::ctl {
+
+const char ReplayUsage[] =
+    R"(Submits the jobs of a trace at their times and compares each answer with
+the expected outcomes of its line.
+
+Usage:
+  wigeonwallctl replay [options] [--entry ADDR]... <file>
+  wigeonwallctl replay --help
+
+Options:
+  --entry ADDR       Entry as IP:PORT; repeat it to spread the jobs
+                     (default 127.0.0.1:7100).
+  --client-delay-ms N  One-way delay to clients, added by this tool
+                     [default: 3].
+  --connections N    Most connections per entry [default: 1000].
+  --json FILE        Write the figures and deviations as JSON to a file too.
+  -h --help          Print this text.
+
+Exit codes:
+  0 all answers as expected, 1 any deviation, 2 usage or bad input
+)";
+
+namespace {
+
+/// Further deviations are only counted.
+constexpr std::size_t MaxListed = 20;
+constexpr double NanosecondsPerSecond = 1e9;
+
+std::string describeEnd(const JobEnd &End) {
+  const CallerReply &Reply = End.Reply_;
+  std::string Text(request::findName(ReplyKindNames, Reply.Kind_));
+  if (Reply.Kind_ == ReplyKind::NotRun || Reply.Kind_ == ReplyKind::Failed)
+    Text += ":" + std::string(request::findName(request::ReasonNames,
+                                                Reply.Answer_.Reason_));
+  if (End.Check_ != AnswerCheck::Good)
+    Text += ", " + std::string(request::findName(AnswerCheckNames, End.Check_));
+  if (End.Contradicted_)
+    Text += ", contradicted";
+  if (!Reply.Detail_.empty())
+    Text += " (" + Reply.Detail_ + ")";
+  return Text;
+}
+
+/// \brief Compares the ends of jobs with a trace and keeps the deviations.
+class Comparison {
+public:
+  explicit Comparison(const std::vector<TracedJob> &Jobs) {
+    for (const TracedJob &Job : Jobs)
+      Expected_[{Job.Plan_.Service_, Job.Plan_.Id_}] = &Job;
+  }
+
+  void record(const PlannedJob &Plan, const JobEnd &End) {
+    const TracedJob &Job = *Expected_.at({Plan.Service_, Plan.Id_});
+    if (End.Check_ == AnswerCheck::Good && !End.Contradicted_ &&
+        Job.allows(End.Reply_))
+      return;
+    ++Count_;
+    if (Listed_.size() >= MaxListed)
+      return;
+    Json::Value Row;
+    Row["service"] = Plan.Service_;
+    Row["job_id"] = Plan.Id_;
+    for (const std::string &Each : Job.Expected_)
+      Row["expected"].append(Each);
+    Row["received"] = describeEnd(End);
+    Listed_.append(std::move(Row));
+  }
+
+  [[nodiscard]] std::size_t count() const noexcept { return Count_; }
+  [[nodiscard]] const Json::Value &listed() const noexcept { return Listed_; }
+
+private:
+  std::map<request::JobKey, const TracedJob *> Expected_;
+  std::size_t Count_ = 0;
+  Json::Value Listed_{Json::arrayValue};
+};
+
+int reportDeviations(Console Streams, const Comparison &Compared) {
+  if (Compared.count() == 0)
+    return ExitComplete;
+  for (const Json::Value &Row : Compared.listed()) {
+    Streams.Err_ << "job " << Row["service"].asString() << "/"
+                 << Row["job_id"].asString() << ": expected";
+    for (const Json::Value &Each : Row["expected"])
+      Streams.Err_ << " " << Each.asString();
+    Streams.Err_ << ", received " << Row["received"].asString() << "\n";
+  }
+  reportError(Streams,
+              std::to_string(Compared.count()) +
+                  " jobs ended otherwise than expected",
+              "look for the job ids in the logs of the homes");
+  return ExitFailed;
+}
+
+int replay(Console Streams, const RunOptions &Run,
+           const std::vector<TracedJob> &Jobs) {
+  Comparison Compared(Jobs);
+  LoadStats Stats(Run.Load_.ClientDelay_);
+  auto Next = Jobs.begin();
+  LoadRun Engine(
+      Run.Load_,
+      [&]() -> std::optional<PlannedJob> {
+        return Next == Jobs.end() ? std::nullopt
+                                  : std::optional((Next++)->Plan_);
+      },
+      [&](const PlannedJob &Job, const JobEnd &End) {
+        Stats.record(Job, End);
+        Compared.record(Job, End);
+      },
+      [&](const LoadProgress &Progress) {
+        printProgress(Streams, Progress, Stats.overall());
+      });
+  Engine.run();
+  // A trace of one job at offset 0 still has a length for the rates.
+  const double Seconds =
+      std::max(1.0, static_cast<double>(Jobs.back().Plan_.Offset_.count()) /
+                        NanosecondsPerSecond);
+  Json::Value Figures = Stats.toJson(Seconds);
+  Figures["deviations"] = Json::UInt64(Compared.count());
+  Figures["listed_deviations"] = Compared.listed();
+  writeFigures(Streams, Run, Figures);
+  Stats.printTable(Streams.Out_, Seconds);
+  return reportDeviations(Streams, Compared);
+}
+
+} // namespace
+
+int runReplay(const Arguments &Args, Console Streams) {
+  OptionFault Why;
+  OptionReader Reader(Args, Why);
+  RunOptions Run;
+  std::string File;
+  readRunOptions(Reader, "replay", Run);
+  Reader.string("<file>", File);
+  if (!Reader.finish())
+    return reportBadOption(Streams, Why);
+  std::ifstream Stream(File);
+  TraceFault Bad;
+  const auto Jobs = readTrace(Stream, File, Bad);
+  if (Jobs)
+    return replay(Streams, Run, *Jobs);
+  reportError(Streams, Bad.Position_ + ": " + Bad.Message_,
+              "correct the line, or write a trace with \"wigeonwallctl "
+              "generate-trace\"");
+  return ExitUsage;
+}
+
+} // namespace wigeonwall::ctl
