Add the main program: control thread, traffic threads, planned stop

Cause: the roles and the control plane were not yet one process. Change: ProcessHost runs the control plane and the administration port on the calling thread and the role on traffic threads; SIGTERM, POST /drain or a newer incarnation of the same id begins a planned stop, which ends when the role has no work left or its time is over.

--- /dev/null
+++ b/packages/process/src/process_host.cpp
@@ -0,0 +1,192 @@
+#include "wigeonwall/process/process_host.h"
+
+#include "role_threads.h"
+
+#include "wigeonwall/connection/consul_store.h"
+#include "wigeonwall/process/admin_api.h"
+#include "wigeonwall/process/control_plane.h"
+#include "wigeonwall/process/event_loop.h"
+#include "wigeonwall/process/log.h"
+#include "wigeonwall/process/role_context.h"
+#include "wigeonwall/version/config_codec.h"
+
+#include <random>
+
+namespace wigeonwall::process {
+
+namespace asio = connection::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds DrainCheckPeriod{50};
+/// Time for the balancer to see that an entry is not ready and for homes to
+/// see that an agent leaves, before the first check for remaining work.
+constexpr std::chrono::milliseconds DrainGrace{1'000};
+/// Longest planned stop of an entry, which has no setting for it.
+constexpr std::chrono::milliseconds EntryDrainTimeout{30'000};
+
+std::shared_ptr<const version::Config> decodeConfig(const Json::Value &Source) {
+  std::vector<version::ConfigFault> Faults;
+  auto Stored = version::decodeStoredConfig(Source, Faults);
+  if (!Stored)
+    return nullptr;
+  return std::make_shared<const version::Config>(std::move(Stored->Config_));
+}
+
+} // namespace
+
+class ProcessHost::Implementation {
+public:
+  explicit Implementation(Settings Options);
+  ExitCode run();
+
+private:
+  [[nodiscard]] ControlPlaneDependencies controlDependencies();
+  [[nodiscard]] ControlPlaneOptions controlOptions() const;
+  void publishGauges(const ClusterView &View);
+  void beginStop(const char *Cause);
+  void checkDrained();
+  void finishStop(ExitCode Code);
+
+  Settings Options_;
+  std::int64_t Incarnation_;
+  asio::io_context Control_{1};
+  ViewPublisher Views_;
+  Counters Counters_;
+  std::unique_ptr<detail::RoleThreads> Role_;
+  connection::ConsulStore Store_;
+  ControlPlane Plane_;
+  connection::HttpServer Admin_;
+  asio::signal_set Signals_;
+  Schedule After_;
+  request::TimePoint StopDeadline_;
+  bool Stopping_ = false;
+  ExitCode Result_ = ExitCode::Done;
+};
+
+ProcessHost::Implementation::Implementation(Settings Options)
+    : Options_(std::move(Options)), Incarnation_(systemClock()()),
+      Role_(detail::makeRoleThreads(Options_,
+                                    {Incarnation_, Views_, Counters_,
+                                     [this](std::function<void()> Task) {
+                                       asio::post(Control_, std::move(Task));
+                                     }})),
+      Store_(Control_, Options_.Store_, {},
+             [&Calls = Counters_.counter("store_calls_total")] {
+               Calls.fetch_add(1);
+             }),
+      Plane_(controlDependencies(), controlOptions()),
+      Admin_(Control_, Options_.AdminListen_, {},
+             makeAdminHandler(
+                 Views_, Counters_,
+                 {[this] { return !Stopping_ && Views_.current()->ready(); },
+                  [this] { beginStop("request"); }})),
+      Signals_(Control_, SIGINT, SIGTERM), After_(makeSchedule(Control_)) {
+  Views_.observe([this](const std::shared_ptr<const ClusterView> &View) {
+    publishGauges(*View);
+    Role_->onViewChange();
+  });
+}
+
+ControlPlaneDependencies ProcessHost::Implementation::controlDependencies() {
+  return {Control_,
+          Store_,
+          Views_,
+          steadyClock(),
+          systemClock(),
+          std::random_device{}(),
+          decodeConfig,
+          makeMessageObserver(Counters_),
+          [this] { beginStop("newer_incarnation"); },
+          [](const std::string &Line) {
+            logEvent("control", "state_changed", {{"detail", Line}});
+          }};
+}
+
+ControlPlaneOptions ProcessHost::Implementation::controlOptions() const {
+  ControlPlaneOptions Result;
+  Result.Own_.Id_ = Options_.Id_;
+  Result.Own_.Role_ = Options_.Role_;
+  Result.Own_.Incarnation_ = Incarnation_;
+  Result.Own_.ControlAddress_ =
+      connection::formatEndpoint(Options_.ControlListen_);
+  Result.Own_.TrafficAddress_ =
+      connection::formatEndpoint(Options_.TrafficListen_);
+  Result.Own_.FailureDomain_ = Options_.FailureDomain_;
+  Result.Own_.Service_ = Options_.Agent_.Service_;
+  for (const connection::Endpoint &Seed : Options_.Seeds_)
+    Result.Seeds_.push_back(connection::formatEndpoint(Seed));
+  return Result;
+}
+
+void ProcessHost::Implementation::publishGauges(const ClusterView &View) {
+  Counters_.counter("map_epoch")
+      .store(static_cast<std::int64_t>(View.Map_ ? View.Map_->Epoch_ : 0));
+  Counters_.counter("config_version")
+      .store(
+          static_cast<std::int64_t>(View.Config_ ? View.Config_->Version_ : 0));
+  Counters_.counter("members").store(
+      static_cast<std::int64_t>(View.Members_.size()));
+}
+
+ExitCode ProcessHost::Implementation::run() {
+  if (!Role_->start() || !Admin_.listen() || !Plane_.start()) {
+    logEvent("process", "start_failed",
+             {{"cause", "a listen address is taken or invalid"}},
+             LogLevel::Error);
+    Role_->stop();
+    return ExitCode::Failed;
+  }
+  logEvent("process", "started",
+           {{"role", request::findName(RoleNames, Options_.Role_)},
+            {"incarnation", Incarnation_}});
+  Signals_.async_wait([this](auto Error, int) {
+    if (!Error)
+      beginStop("signal");
+  });
+  Control_.run();
+  Role_->stop();
+  return Result_;
+}
+
+void ProcessHost::Implementation::beginStop(const char *Cause) {
+  if (Stopping_)
+    return;
+  Stopping_ = true;
+  logEvent("process", "stop_began", {{"cause", Cause}});
+  Plane_.beginLeaving();
+  Role_->beginLeaving();
+  StopDeadline_ = steadyClock()() + (Options_.Role_ == Role::Agent
+                                         ? Options_.Agent_.DrainTimeout_
+                                         : EntryDrainTimeout);
+  After_(DrainGrace, [this] { checkDrained(); });
+}
+
+void ProcessHost::Implementation::checkDrained() {
+  Role_->checkDrained([this](bool Drained) {
+    if (Drained)
+      return finishStop(ExitCode::Done);
+    if (steadyClock()() >= StopDeadline_)
+      return finishStop(ExitCode::Failed);
+    After_(DrainCheckPeriod, [this] { checkDrained(); });
+  });
+}
+
+void ProcessHost::Implementation::finishStop(ExitCode Code) {
+  Result_ = Code;
+  logEvent("process", "stopped",
+           {{"drained", Code == ExitCode::Done ? "yes" : "no"}});
+  Plane_.leave([this] {
+    Plane_.stop();
+    Control_.stop();
+  });
+}
+
+ProcessHost::ProcessHost(Settings Options)
+    : Implementation_(std::make_unique<Implementation>(std::move(Options))) {}
+
+ProcessHost::~ProcessHost() = default;
+
+ExitCode ProcessHost::run() { return Implementation_->run(); }
+
+} // namespace wigeonwall::process
