--- a/apps/wigeonwallctl/command.h
+++ b/apps/wigeonwallctl/command.h
@@ -55,6 +55,8 @@
 int runLoad(const Arguments &Args, Console Streams);
 extern const char ReplayUsage[];
 int runReplay(const Arguments &Args, Console Streams);
+extern const char ConfigUsage[];
+int runConfig(const Arguments &Args, Console Streams);
 extern const char GenerateTraceUsage[];
 int runGenerateTrace(const Arguments &Args, Console Streams);
 
--- a/apps/wigeonwallctl/commands.cpp
+++ b/apps/wigeonwallctl/commands.cpp
@@ -42,6 +42,8 @@
       {"submit", "submits a job and prints its answer", SubmitUsage, runSubmit},
       {"status", "prints the state or answer of a job", StatusUsage, runStatus},
       {"cancel", "cancels a job", CancelUsage, runCancel},
+      {"config", "checks, compares and applies the configuration", ConfigUsage,
+       runConfig},
       {"load", "sends a workload and measures the answers", LoadUsage, runLoad},
       {"replay", "replays a trace against its expected outcomes", ReplayUsage,
        runReplay},
--- a/apps/wigeonwallctl/options.cpp
+++ b/apps/wigeonwallctl/options.cpp
@@ -108,10 +108,15 @@
 
 void OptionReader::entries(const char *Name,
                            std::vector<connection::Endpoint> &Out) {
+  endpoints(Name, DefaultEntry, Out);
+}
+
+void OptionReader::endpoints(const char *Name, const char *Default,
+                             std::vector<connection::Endpoint> &Out) {
   std::vector<std::string> Texts;
   strings(Name, Texts);
   if (Texts.empty())
-    Texts.emplace_back(DefaultEntry);
+    Texts.emplace_back(Default);
   for (const std::string &Text : Texts) {
     const auto Address = connection::parseEndpoint(Text);
     if (!Address || Address->Port_ == 0)
--- a/apps/wigeonwallctl/options.h
+++ b/apps/wigeonwallctl/options.h
@@ -54,6 +54,9 @@
   /// \brief Reads a repeated IP:PORT option; the address in
   /// `examples/entry.ini` when none is given.
   void entries(const char *Name, std::vector<connection::Endpoint> &Out);
+  /// \brief Reads a repeated IP:PORT option; \p Default when none is given.
+  void endpoints(const char *Name, const char *Default,
+                 std::vector<connection::Endpoint> &Out);
   [[nodiscard]] bool flag(const char *Name) const;
   [[nodiscard]] bool given(const char *Name) const;
   void fail(const char *Name, std::string Message);
--- a/packages/process/src/admin_api.cpp
+++ b/packages/process/src/admin_api.cpp
@@ -40,6 +40,11 @@
   Value["map_epoch"] = Json::UInt64(View.Map_ ? View.Map_->Epoch_ : 0);
   Value["config_version"] =
       Json::UInt64(View.Config_ ? View.Config_->Version_ : 0);
+  Json::UInt64 Present = 0;
+  if (View.Map_)
+    for (const version::MapAgent &Agent : View.Map_->Agents_)
+      Present += Agent.RemovedEpoch_ == 0 ? 1 : 0;
+  Value["map_agents"] = Present;
   Json::Value Services(Json::arrayValue);
   if (View.Config_)
     for (const auto &Service : View.Config_->Services_)
