--- a/apps/wigeonwallctl/submit.cpp
+++ b/apps/wigeonwallctl/submit.cpp
@@ -31,7 +31,9 @@
   --created-at-ms N  Unix time of the first submission (default: now).
   --timeout-ms N    Latest useful answer after acceptance [default: 10000].
   --non-idempotent  The job must run at most once.
-  --wait-ms N       Longest wait for the answer (default: timeout and 1 s).
+  --wait-ms N       Longest wait for the answer at one entry; a second entry is
+                    tried when the first does not reply (default: timeout
+                    and 1 s).
   --json            Print the answer as JSON.
   -h --help         Print this text.
 
