Test the mechanisms that the fault runs did not need

Cause: each mechanism of the job path was disabled in turn on a scratch copy and the two fault tests were run. Conclusion: every mechanism now has a test that fails without it, except that seals and refusals are tested at their module only.

--- a/tests/standins/job_cluster.cpp
+++ b/tests/standins/job_cluster.cpp
@@ -275,6 +275,21 @@
   change(Observers, [&](process::ClusterView &View) { View.Map_ = Shared; });
 }
 
+void JobCluster::rejoin(const std::string &Id) {
+  version::MapChange Change;
+  for (const version::MapAgent &Each : Map_.Agents_)
+    if (Each.Id_ == Id)
+      Change.Joins_ = {Each};
+  Map_ = *version::applyChange(Map_, Change, wallMs(), RetentionMs);
+  const auto Shared = std::make_shared<const version::AgentMap>(Map_);
+  change({}, [&](process::ClusterView &View) {
+    View.Map_ = Shared;
+    for (Member &Each : View.Members_)
+      if (Each.Id_ == Id)
+        Each.State_ = MemberState::Alive;
+  });
+}
+
 void JobCluster::restart(const std::string &Id) {
   version::MapAgent Agent = *Map_.findPresent(Id);
   Incarnations_[Id] = std::max(wallMs(), Incarnations_[Id] + 1);
--- a/tests/standins/job_cluster.h
+++ b/tests/standins/job_cluster.h
@@ -67,6 +67,9 @@
                      const std::vector<std::string> &Observers = {});
   /// \brief Gives the newest map to the given processes.
   void learnMap(const std::vector<std::string> &Observers);
+  /// \brief Puts an agent that was removed by mistake into the map again, as
+  /// seen by all processes.
+  void rejoin(const std::string &Id);
   /// \brief Starts a new incarnation of an agent; the map gets it.
   void restart(const std::string &Id);
   void beginLeaving(const std::string &Id);
--- a/tests/unit/job_path_test.cpp
+++ b/tests/unit/job_path_test.cpp
@@ -138,6 +138,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(home_that_waits_settles_again_after_a_map_change) {
+  // The home waits for its copy holder while it is cut off and another home
+  // runs the job; then it is home again and must not run the job once more.
+  JobCluster Cluster({});
+  const auto Spec = Cluster.job("j", 3, 200, seconds(60));
+  const std::string Home = Cluster.homeOf(Spec);
+  std::vector<std::string> Others{"a0", "a1", "a2", "a3", "e0", "e1"};
+  std::erase(Others, Home);
+  for (const std::string &Each : Others)
+    if (Each != "e0")
+      Cluster.network().cut(Home, Each);
+  Cluster.submit("e0", Spec);
+  Cluster.time().advance(seconds(5));
+  Cluster.announceDead(Home, Others);
+  Cluster.removeFromMap(Home, Others);
+  Cluster.submit("e1", Spec);
+  Cluster.time().advance(seconds(5));
+  BOOST_TEST(Cluster.startsOf("j") == 3U);
+  Cluster.network().heal();
+  Cluster.rejoin(Home);
+  Cluster.time().advance(seconds(60));
+  checkPromises(Cluster);
+}
+
 BOOST_AUTO_TEST_CASE(store_outage_leaves_a_dead_home_in_the_map) {
   // The map cannot change, so the entry asks the copy holder.
   for (const int KillAfterMs : {1, 100, 1'000}) {
--- /dev/null
+++ b/tests/unit/start_gate_test.cpp
@@ -0,0 +1,90 @@
+/// \file
+/// \brief Guards the last check before a start: each message that must not
+/// start a task, in a table.
+#include "wigeonwall/request/start_gate.h"
+
+#include "standins/virtual_time.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall::request;
+using wigeonwall::standins::VirtualTime;
+
+namespace {
+
+constexpr std::chrono::seconds Retention{100};
+const JobKey Job{"permit-desk", "j"};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(messages_after_the_first) {
+  struct Case {
+    const char *Name_;
+    bool FirstRefused_;
+    StartSender Second_;
+    GateResult Expected_;
+  };
+  const StartSender First{"a", 1, 5, 2};
+  const Case Cases[] = {
+      {"repeated message", false, {"a", 1, 5, 2}, GateResult::Repeat},
+      {"repeated under a newer epoch",
+       false,
+       {"a", 1, 6, 2},
+       GateResult::Repeat},
+      {"higher attempt while it may run",
+       false,
+       {"a", 1, 5, 3},
+       GateResult::Repeat},
+      {"another home", false, {"b", 1, 5, 1}, GateResult::Duplicate},
+      {"restarted home", false, {"a", 2, 5, 1}, GateResult::Duplicate},
+      {"another home after a refusal",
+       true,
+       {"b", 1, 5, 9},
+       GateResult::Duplicate},
+      {"late copy of a refused message",
+       true,
+       {"a", 1, 5, 2},
+       GateResult::Refused},
+      {"late copy of an older message",
+       true,
+       {"a", 1, 5, 1},
+       GateResult::Refused},
+      {"next attempt after a refusal", true, {"a", 1, 5, 3}, GateResult::Admit},
+      {"next attempt under an older epoch",
+       true,
+       {"a", 1, 4, 3},
+       GateResult::StaleEpoch},
+  };
+  for (const Case &Each : Cases) {
+    VirtualTime Time;
+    StartGate Gate(Time.clock(), Retention);
+    BOOST_TEST((Gate.admit(Job, 0, First) == GateResult::Admit));
+    if (Each.FirstRefused_)
+      Gate.refuse(Job, 0);
+    BOOST_TEST((Gate.admit(Job, 0, Each.Second_) == Each.Expected_),
+               Each.Name_);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(older_epoch_is_refused_for_new_tasks) {
+  VirtualTime Time;
+  StartGate Gate(Time.clock(), Retention);
+  Gate.raiseEpoch(7);
+  BOOST_TEST((Gate.admit(Job, 0, {"a", 1, 6, 1}) == GateResult::StaleEpoch));
+  BOOST_TEST((Gate.admit(Job, 0, {"a", 1, 7, 1}) == GateResult::Admit));
+}
+
+BOOST_AUTO_TEST_CASE(entries_outlive_a_second_admission) {
+  // The expiry of the refused admission must not drop the later one.
+  VirtualTime Time;
+  StartGate Gate(Time.clock(), Retention);
+  BOOST_TEST((Gate.admit(Job, 0, {"a", 1, 1, 1}) == GateResult::Admit));
+  Gate.refuse(Job, 0);
+  Time.advance(std::chrono::seconds(60));
+  BOOST_TEST((Gate.admit(Job, 0, {"a", 1, 1, 2}) == GateResult::Admit));
+  Time.advance(std::chrono::seconds(60));
+  BOOST_TEST((Gate.admit(Job, 0, {"a", 1, 1, 2}) == GateResult::Repeat));
+  Time.advance(std::chrono::seconds(60));
+  BOOST_TEST((Gate.admit(Job, 1, {"a", 1, 1, 1}) == GateResult::Admit));
+  BOOST_TEST(Gate.size() == 1U);
+}
