Bound the work of the map maintainer and contact unknown agents

Cause: the maintainer and the watcher compared all members with all agents of the map on each tick of 100 ms, which at 620 agents would cost some percent of a core. An agent of the map that membership had not heard of would have been removed after 10 s although it might only be in a group not met yet. A superseded process would have gone on to propose from a list that it no longer updates.

Change: reviews of the map run when a member or the map changed, else each 5 s; the watcher is chosen when a view is published. Unknown agents of the map are contacted at their control address and removed after 15 s at the earliest. A superseded process neither watches nor proposes.

--- a/packages/process/include/wigeonwall/process/document_watcher.h
+++ b/packages/process/include/wigeonwall/process/document_watcher.h
@@ -46,6 +46,7 @@
     const char *Name_;
     std::uint64_t Index_ = 0;
     bool Waiting_ = false;
+    request::TimePoint Started_{};
     request::TimePoint Next_{};
   };
 
--- a/packages/process/include/wigeonwall/process/map_maintainer.h
+++ b/packages/process/include/wigeonwall/process/map_maintainer.h
@@ -23,7 +23,10 @@
   /// After a failed call of the key-value service; up to twice as long.
   request::Duration RetryTime_ = std::chrono::seconds(1);
   /// Until an agent of the map that membership never heard of counts as dead.
-  request::Duration UnknownTime_ = std::chrono::seconds(10);
+  request::Duration UnknownTime_ = std::chrono::seconds(15);
+  /// Between looks at the map while no member changes; unknown agents are
+  /// contacted as often.
+  request::Duration ReviewPeriod_ = std::chrono::seconds(5);
   /// Without peers, for this long after the start no map is written: the seeds
   /// may not have answered yet.
   request::Duration AloneTime_ = std::chrono::seconds(3);
@@ -35,6 +38,8 @@
   /// A map read from or written to the key-value service.
   std::function<void(const Json::Value &Source)> Found_;
   std::function<std::int64_t()> WallClockMs_;
+  /// Asks the process at a control address to join.
+  std::function<void(const std::string &Address)> Contact_;
   /// How long departed agents stay in the map.
   std::function<std::int64_t()> RetentionMs_;
   std::function<void(const std::string &Line)> Report_;
@@ -60,11 +65,12 @@
   enum class Outcome : std::uint8_t { Written, NothingToDo, Failed };
   using Finished = std::function<void(Outcome)>;
 
+  void review(request::TimePoint Now);
   [[nodiscard]] version::MapChange wanted(const version::AgentMap &Map);
   void addJoins(const version::AgentMap &Map, version::MapChange &Change) const;
   void addRemovals(const version::AgentMap &Map, version::MapChange &Change);
   [[nodiscard]] bool seesMajority(const version::AgentMap &Map) const;
-  [[nodiscard]] bool isUnknownForLong(const std::string &Id);
+  [[nodiscard]] bool isUnknownForLong(const version::MapAgent &Agent);
   [[nodiscard]] std::size_t ownRank(version::Epoch Current) const;
   [[nodiscard]] version::AgentMap known() const;
 
@@ -85,9 +91,19 @@
   /// When the current change was first wanted, under which epoch.
   std::optional<request::TimePoint> WantedSince_;
   version::Epoch WantedEpoch_ = 0;
+  std::size_t Rank_ = 0;
+  /// What the last review has seen; a review at 620 agents compares about
+  /// 400,000 ids, too much for each tick.
+  std::uint64_t ReviewedGeneration_ = 0;
+  version::Epoch ReviewedEpoch_ = 0;
+  request::TimePoint NextReview_;
   request::TimePoint NextAttempt_;
   bool Writing_ = false;
-  std::map<std::string, request::TimePoint> UnknownSince_;
+  struct Unknown {
+    request::TimePoint Since_;
+    request::TimePoint NextContact_;
+  };
+  std::map<std::string, Unknown> Unknown_;
   AliveToken Alive_;
 };
 
--- a/packages/process/include/wigeonwall/process/membership.h
+++ b/packages/process/include/wigeonwall/process/membership.h
@@ -114,6 +114,12 @@
   /// \brief Up to \p Most distinct present members other than \p Except.
   [[nodiscard]] std::vector<Member> randomPeers(std::size_t Most,
                                                 const std::string &Except = {});
+  /// \brief Rises with each change of a member.
+  [[nodiscard]] std::uint64_t generation() const noexcept {
+    return Generation_;
+  }
+  /// \brief A newer incarnation of the own id runs.
+  [[nodiscard]] bool superseded() const noexcept { return Superseded_; }
   /// \brief No other process is known to be present.
   [[nodiscard]] bool alone() const noexcept {
     return Table_.presentCount() == 0;
@@ -153,6 +159,7 @@
   void acknowledge(const std::string &Id, std::int64_t Incarnation);
   void requestJoin(const std::string &Id, request::TimePoint Now);
   void state(MemberState Statement);
+  void changed();
   [[nodiscard]] MembershipMessage replyTo(const MembershipMessage &Request,
                                           MembershipMessage Reply) const;
   [[nodiscard]] std::uint32_t digest() const {
@@ -186,6 +193,7 @@
   /// Members that this process itself suspects, with the next reminder.
   std::map<std::string, request::TimePoint> Reminders_;
   bool Superseded_ = false;
+  std::uint64_t Generation_ = 0;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/include/wigeonwall/process/membership_message.h
+++ b/packages/process/include/wigeonwall/process/membership_message.h
@@ -40,6 +40,12 @@
   [[nodiscard]] MemberState state() const noexcept;
   /// \brief False for dead members and those that left.
   [[nodiscard]] bool present() const noexcept;
+  /// \brief Copy to send to processes that know the member.
+  [[nodiscard]] MemberUpdate withoutDetails() const {
+    MemberUpdate Short = *this;
+    Short.Complete_ = false;
+    return Short;
+  }
 };
 
 /// \brief Versions of the agreed documents; 0 when not known.
--- a/packages/process/src/control_plane.cpp
+++ b/packages/process/src/control_plane.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t ConnectionsPerPeer = 4;
 constexpr std::size_t AnnouncedPeers = 3;
 
+std::optional<MembershipMessage> decodeReply(const RpcResult &Result) {
+  MembershipFault Why;
+  return Result.ok() ? decodeMessage(Result.Value_, Why) : std::nullopt;
+}
+
 } // namespace
 
 struct ControlPlane::State {
@@ -39,7 +44,8 @@
   [[nodiscard]] DocumentSpreaderHooks spreaderHooks();
   [[nodiscard]] MapMaintainerHooks maintainerHooks();
   void tick();
-  void contactSeed();
+  /// Probes an address without knowing which process answers.
+  void contact(const std::string &Address);
   void schedulePublish();
   void publish();
   void report(const std::string &Line) const;
@@ -49,7 +55,8 @@
   void send(const Member &To, const std::string &Method,
             MembershipMessage Message);
   void onResult(const Member &To, const RpcResult &Result);
-  void onSeedResult(const std::string &Seed, const RpcResult &Result);
+  void onContacted(const std::string &Address, const RpcResult &Result);
+  void onJoined(const std::string &Address, const RpcResult &Result);
   void onMessage(const std::string &Address, const MembershipMessage &Message);
   using Handler = MembershipMessage (Membership::*)(const MembershipMessage &);
   [[nodiscard]] Json::Value serve(const Json::Value &Params, Handler Handle);
@@ -190,16 +197,20 @@
                                   : version::LimitsConfig{}.RecordRetention_;
     return std::int64_t(std::chrono::milliseconds(Retention).count());
   };
+  Hooks.Contact_ = [this](const std::string &Address) { contact(Address); };
   Hooks.Report_ = [this](const std::string &Line) { report(Line); };
   return Hooks;
 }
 
 void ControlPlane::State::tick() {
   Members_->tick();
-  Watcher_->setActive(isWatcher(Members_->own(), Members_->members()));
-  Watcher_->tick();
-  Maintainer_->tick();
-  contactSeed();
+  // A superseded process has stopped following the others.
+  if (!Members_->superseded()) {
+    Watcher_->tick();
+    Maintainer_->tick();
+    if (const auto Seed = Seeds_->next(Members_->alone()))
+      contact(*Seed);
+  }
   Timer_.expires_after(Options_.TickPeriod_);
   Timer_.async_wait(
       Alive_.guard([this](const boost::system::error_code &Error) {
@@ -208,16 +219,15 @@
       }));
 }
 
-void ControlPlane::State::contactSeed() {
+void ControlPlane::State::contact(const std::string &Address) {
   if (Members_->own().State_ == MemberState::Left)
     return;
   const bool Alone = Members_->alone();
-  const auto Seed = Seeds_->next(Alone);
-  if (!Seed)
-    return;
-  call(*Seed, Alone ? JoinMethod : ProbeMethod,
+  call(Address, Alone ? JoinMethod : ProbeMethod,
        encode(Alone ? Members_->joinMessage() : Members_->messageFor("")),
-       [this, Seed](const RpcResult &Result) { onSeedResult(*Seed, Result); });
+       [this, Address](const RpcResult &Result) {
+         onContacted(Address, Result);
+       });
 }
 
 void ControlPlane::State::schedulePublish() {
@@ -233,6 +243,8 @@
   View->Map_ = Spreader_->map();
   View->Config_ = Spreader_->config();
   View->Members_ = Members_->members();
+  Watcher_->setActive(!Stopped_ && !Members_->superseded() &&
+                      isWatcher(Members_->own(), View->Members_));
   Dependencies_.Publisher_.publish(std::move(View));
 }
 
@@ -267,26 +279,37 @@
 void ControlPlane::State::onResult(const Member &To, const RpcResult &Result) {
   if (Result.Error_ == TransportError::NotSent)
     return Members_->onUnreachable(To.Id_);
-  MembershipFault Why;
-  const auto Reply =
-      Result.ok() ? decodeMessage(Result.Value_, Why) : std::nullopt;
+  const auto Reply = decodeReply(Result);
   if (!Reply)
     return;
   Members_->onReply(*Reply);
   onMessage(To.ControlAddress_, *Reply);
 }
 
-void ControlPlane::State::onSeedResult(const std::string &Seed,
-                                       const RpcResult &Result) {
-  MembershipFault Why;
-  const auto Reply =
-      Result.ok() ? decodeMessage(Result.Value_, Why) : std::nullopt;
+void ControlPlane::State::onContacted(const std::string &Address,
+                                      const RpcResult &Result) {
+  const auto Reply = decodeReply(Result);
   if (!Reply)
     return;
-  if (Reply->From_.Member_.Id_ == Members_->own().Id_)
+  const Member &From = Reply->From_.Member_;
+  Members_->onReply(*Reply);
+  if (From.Id_ == Members_->own().Id_)
     Seeds_->reachedSelf();
+  else if (!Members_->table().knows(From.Id_, From.Incarnation_))
+    call(Address, JoinMethod, encode(Members_->joinMessage()),
+         [this, Address](const RpcResult &Joined) {
+           onJoined(Address, Joined);
+         });
+  onMessage(Address, *Reply);
+}
+
+void ControlPlane::State::onJoined(const std::string &Address,
+                                   const RpcResult &Result) {
+  const auto Reply = decodeReply(Result);
+  if (!Reply)
+    return;
   Members_->onReply(*Reply);
-  onMessage(Seed, *Reply);
+  onMessage(Address, *Reply);
 }
 
 void ControlPlane::State::onMessage(const std::string &Address,
--- a/packages/process/src/document_watcher.cpp
+++ b/packages/process/src/document_watcher.cpp
@@ -47,6 +47,7 @@
 
 void DocumentWatcher::start(Query &Each) {
   Each.Waiting_ = true;
+  Each.Started_ = Clock_();
   Store_.watch(
       Each.Key_, Each.Index_, Wait_,
       Alive_.guard([this, &Each](const std::optional<StoreEntry> &Entry,
@@ -60,6 +61,9 @@
     Each.Next_ = Clock_() + RetryTime;
     return;
   }
+  // A service that answers at once without news must not be asked in a loop.
+  if (Each.Index_ == Entry->Index_)
+    Each.Next_ = Each.Started_ + RetryTime;
   Each.Index_ = Entry->Index_;
   if (Entry->Index_ == 0)
     return;
--- a/packages/process/src/map_maintainer.cpp
+++ b/packages/process/src/map_maintainer.cpp
@@ -74,30 +74,44 @@
     return;
   if (Members_.alone() && Now - Start_ < Options_.AloneTime_)
     return;
-  const AgentMap Map = known();
-  const MapChange Change = wanted(Map);
-  if (Change.Joins_.empty() && Change.Removals_.empty()) {
-    WantedSince_.reset();
-    return;
-  }
-  if (!WantedSince_ || WantedEpoch_ != Map.Epoch_) {
-    WantedSince_ = Now;
-    WantedEpoch_ = Map.Epoch_;
-  }
-  const auto Rank = static_cast<std::int64_t>(ownRank(Map.Epoch_));
-  if (Now - *WantedSince_ <
-      Options_.GatherTime_ + Options_.ProposerStep_ * Rank)
+  review(Now);
+  if (!WantedSince_ ||
+      Now - *WantedSince_ <
+          Options_.GatherTime_ +
+              Options_.ProposerStep_ * static_cast<std::int64_t>(Rank_))
     return;
   Writing_ = true;
   attempt([this](const AgentMap &Base) { return wanted(Base); },
           [this](Outcome Result) {
             Writing_ = false;
             WantedSince_.reset();
+            NextReview_ = Clock_();
             if (Result == Outcome::Failed)
               NextAttempt_ = Clock_() + retryDelay();
           });
 }
 
+void MapMaintainer::review(TimePoint Now) {
+  const auto Map = Hooks_.Map_();
+  const version::Epoch Current = Map ? Map->Epoch_ : 0;
+  if (Now < NextReview_ && ReviewedGeneration_ == Members_.generation() &&
+      ReviewedEpoch_ == Current)
+    return;
+  NextReview_ = Now + Options_.ReviewPeriod_;
+  ReviewedGeneration_ = Members_.generation();
+  ReviewedEpoch_ = Current;
+  const MapChange Change = wanted(known());
+  if (Change.Joins_.empty() && Change.Removals_.empty()) {
+    WantedSince_.reset();
+    return;
+  }
+  if (!WantedSince_ || WantedEpoch_ != Current) {
+    WantedSince_ = Now;
+    WantedEpoch_ = Current;
+  }
+  Rank_ = ownRank(Current);
+}
+
 request::Duration MapMaintainer::retryDelay() {
   std::uniform_int_distribution<request::Duration::rep> Extra(
       0, Options_.RetryTime_.count());
@@ -128,11 +142,11 @@
       continue;
     const MemberRecord *Record = Members_.table().find(Agent.Id_);
     if (Record == nullptr) {
-      if (isUnknownForLong(Agent.Id_) && Majority)
+      if (isUnknownForLong(Agent) && Majority)
         Change.Removals_.push_back({Agent.Id_, Agent.Incarnation_, 0});
       continue;
     }
-    UnknownSince_.erase(Agent.Id_);
+    Unknown_.erase(Agent.Id_);
     const MemberUpdate &Update = Record->Update_;
     // A newer incarnation replaces the agent by its join.
     if (Update.Member_.Incarnation_ != Agent.Incarnation_ || Update.present())
@@ -159,9 +173,16 @@
   return 2 * Seen > Total;
 }
 
-bool MapMaintainer::isUnknownForLong(const std::string &Id) {
-  const auto Since = UnknownSince_.try_emplace(Id, Clock_()).first->second;
-  return Clock_() - Since >= Options_.UnknownTime_;
+bool MapMaintainer::isUnknownForLong(const MapAgent &Agent) {
+  const TimePoint Now = Clock_();
+  Unknown &Each =
+      Unknown_.try_emplace(Agent.Id_, Unknown{Now, Now}).first->second;
+  // It may be alive in a group that this process has not met.
+  if (Now >= Each.NextContact_) {
+    Each.NextContact_ = Now + Options_.ReviewPeriod_;
+    Hooks_.Contact_(Agent.ControlAddress_);
+  }
+  return Now - Each.Since_ >= Options_.UnknownTime_;
 }
 
 std::size_t MapMaintainer::ownRank(version::Epoch Current) const {
