Repair member lists also while updates wait

Cause: when 620 processes start at once, the queues of updates stay filled, and the digest repair waited for empty queues, so that some processes missed a few members for long.

Change: differing digests call for a repair after 40 messages without news also while updates wait.

--- a/packages/process/src/membership.cpp
+++ b/packages/process/src/membership.cpp
@@ -29,6 +29,11 @@
 /// only from that one and leave the repair to it.
 constexpr unsigned MismatchesForRepair = 8;
 
+/// The same while updates wait to be passed on. When hundreds of processes
+/// start at once, the queues stay filled for half an hour, and without a repair
+/// some members stay unknown to a few processes that long.
+constexpr unsigned MismatchesWhileBusy = 40;
+
 } // namespace
 
 double TokenBucket::available(TimePoint Now) {
@@ -210,8 +215,9 @@
   }
   // While news is on its way, digests differ and will agree without help.
   ++Mismatches_;
-  if (Mismatches_ < MismatchesForRepair || Table_.hasUpdates() ||
-      Now < NextRepair_)
+  const unsigned Needed =
+      Table_.hasUpdates() ? MismatchesWhileBusy : MismatchesForRepair;
+  if (Mismatches_ < Needed || Now < NextRepair_)
     return;
   Mismatches_ = 0;
   NextRepair_ = Now + Options_.RepairPeriod_;
