--- a/packages/process/include/wigeonwall/process/caller_api.h
+++ b/packages/process/include/wigeonwall/process/caller_api.h
@@ -26,7 +26,13 @@
               const connection::HttpRespond &Respond);
   void submitBatch(const connection::HttpRequest &Request,
                    const connection::HttpRespond &Respond);
-  void lookup(const connection::HttpRequest &Request,
+  /// Submits one job and passes its status and body to \p Done, once.
+  template <typename Callback>
+  void submitJob(const Json::Value &Job,
+                 std::optional<request::Duration> Longest,
+                 const Callback &Done);
+  void lookup(const request::JobKey &Key,
+              const connection::HttpRequest &Request,
               const connection::HttpRespond &Respond);
   [[nodiscard]] std::optional<request::JobSpec>
   decode(const Json::Value &Value, request::CodecFault &Why) const;
--- a/packages/process/include/wigeonwall/process/entry.h
+++ b/packages/process/include/wigeonwall/process/entry.h
@@ -46,10 +46,18 @@
 
   /// \brief Takes a job; \p Done runs once, at the latest shortly after the
   /// job's deadline, unless the result is a refusal.
-  [[nodiscard]] EntryRefusal submit(request::JobSpec Spec, AnswerCallback Done);
-
-  /// \brief Asks the home of a job without submitting it.
-  void lookup(const request::JobKey &Key, LookupCallback Done);
+  ///
+  /// When \p Wait passes first, \p Done runs without an answer and is
+  /// released; the job goes on.
+  [[nodiscard]] EntryRefusal
+  submit(request::JobSpec Spec, AnswerCallback Done,
+         std::optional<request::Duration> Wait = std::nullopt);
+
+  /// \brief Asks the home of a job without submitting it, and again until the
+  /// job has ended or \p Wait has passed.
+  void lookup(const request::JobKey &Key, LookupCallback Done,
+              request::Duration Wait = request::Duration::zero());
+  /// \brief Cancels a job at its home.
   void cancel(const request::JobKey &Key, LookupCallback Done);
 
   /// \brief Handles `job.finished`.
@@ -57,16 +65,24 @@
 
   /// \brief Ends overdue jobs and asks again about silent ones; called often.
   void tick();
+  /// \brief Jobs without an answer and waiting lookups.
   [[nodiscard]] std::size_t unfinished() const noexcept {
-    return Pending_.size();
+    return Pending_.size() + Watches_;
   }
+  /// \brief Callbacks that wait for the answer of a submission.
+  [[nodiscard]] std::size_t waiters() const noexcept;
 
 private:
+  struct Watch;
+  struct Waiter {
+    std::uint64_t Id_ = 0;
+    AnswerCallback Done_;
+  };
   struct Pending {
     request::JobSpec Spec_;
     std::uint64_t Fingerprint_ = 0;
     std::uint64_t Serial_ = 0;
-    std::vector<AnswerCallback> Waiting_;
+    std::vector<Waiter> Waiting_;
     request::TimePoint Deadline_;
     request::TimePoint AskAgainAt_;
     /// Since when the home has not answered; unset while it does.
@@ -77,7 +93,12 @@
   };
 
   [[nodiscard]] Pending *find(const request::JobKey &Key, std::uint64_t Serial);
+  void wait(Pending &Job, AnswerCallback Done,
+            std::optional<request::Duration> Wait);
+  void endWait(const request::JobKey &Key, std::uint64_t Serial,
+               std::uint64_t Id);
   void ask(Pending &Job);
+  void failUnknownService(const Pending &Job);
   void onReply(Pending &Job, const connection::RpcResult &Result);
   void onRefused(Pending &Job, request::Reason Why);
   void askLater(Pending &Job, request::Duration Delay);
@@ -87,6 +108,7 @@
   void answer(Pending &Job, const request::JobAnswer &Answer);
   void query(const std::string &Method, const request::JobKey &Key,
              LookupCallback Done);
+  void poll(const std::shared_ptr<Watch> &Each);
 
   AgentContext Context_;
   std::size_t MaxJobs_;
@@ -95,6 +117,8 @@
                      request::JobKeyHash>
       Pending_;
   std::uint64_t NextSerial_ = 1;
+  std::uint64_t NextWaiter_ = 1;
+  std::size_t Watches_ = 0;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/src/caller_api.cpp
+++ b/packages/process/src/caller_api.cpp
@@ -1,5 +1,7 @@
 #include "wigeonwall/process/caller_api.h"
 
+#include "wigeonwall/request/field_reader.h"
+
 #include <charconv>
 
 namespace wigeonwall::process {
@@ -21,57 +23,95 @@
 constexpr std::string_view JobsTarget = "/v1/jobs";
 constexpr std::string_view BatchesTarget = "/v1/batches";
 
-HttpResponse respond(int Status, const Json::Value &Body) {
+/// Status and JSON body of one reply.
+struct Reply {
+  int Status_ = 200;
+  Json::Value Body_;
+};
+
+using Wait = std::optional<std::chrono::milliseconds>;
+
+void send(const HttpRespond &Respond, const Reply &Answer,
+          std::vector<connection::HttpHeader> Headers = {}) {
   HttpResponse Response;
-  Response.Status_ = Status;
-  Response.Body_ = request::writeJson(Body) + "\n";
-  return Response;
+  Response.Status_ = Answer.Status_;
+  Response.Headers_ = std::move(Headers);
+  Response.Body_ = request::writeJson(Answer.Body_) + "\n";
+  Respond(std::move(Response));
+}
+
+Reply refusal(int Status, const std::string &Message) {
+  Reply Result{Status, {}};
+  Result.Body_["error"] = Message;
+  return Result;
+}
+
+/// Reply to a malformed request; \p Position is a JSON pointer into the body,
+/// or "?wait_ms".
+Reply malformed(const std::string &Message, const std::string &Position) {
+  Reply Result = refusal(400, Message);
+  Result.Body_["position"] = Position;
+  return Result;
+}
+
+void refuseMethod(const HttpRespond &Respond, const char *Allowed) {
+  send(Respond, refusal(405, std::string("allowed methods: ") + Allowed),
+       {{"Allow", Allowed}});
 }
 
-HttpResponse refusal(int Status, const std::string &Message,
-                     const std::string &Position = "") {
-  Json::Value Body;
-  Body["error"] = Message;
-  if (!Position.empty())
-    Body["position"] = Position;
-  return respond(Status, Body);
+Reply describe(const JobKey &Key, const JobAnswer &Answer) {
+  Reply Result{statusOf(Answer), request::encodeAnswer(Answer)};
+  writeJobKey(Result.Body_, Key);
+  return Result;
 }
 
-Json::Value describe(const JobKey &Key, const JobAnswer &Answer) {
-  Json::Value Body = request::encodeAnswer(Answer);
-  writeJobKey(Body, Key);
-  return Body;
+Reply stateOnly(int Status, const JobKey &Key, const char *State) {
+  Reply Result{Status, {}};
+  writeJobKey(Result.Body_, Key);
+  Result.Body_["state"] = State;
+  return Result;
 }
 
-HttpResponse running(const JobKey &Key) {
-  Json::Value Body;
-  writeJobKey(Body, Key);
-  Body["state"] = "running";
-  return respond(202, Body);
+Reply describe(const JobKey &Key, JobLookup State, const JobAnswer &Answer) {
+  switch (State) {
+  case JobLookup::Final:
+    return describe(Key, Answer);
+  case JobLookup::Running:
+    return stateOnly(202, Key, "running");
+  case JobLookup::Unknown:
+    return stateOnly(404, Key, "unknown");
+  case JobLookup::Unreachable:
+    break;
+  }
+  return refusal(503, "the job's home does not answer; try again");
 }
 
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
 
-/// Reads `wait_ms` from the query; \p Default when absent, nothing when bad.
-std::optional<std::int64_t> readWait(std::string_view Target,
-                                     std::int64_t Default) {
+/// Reads `wait_ms` from the query; keeps \p Out when there is no query.
+bool readWait(std::string_view Target, Wait &Out) {
   const std::size_t Mark = Target.find('?');
   if (Mark == std::string_view::npos)
-    return Default;
+    return true;
   std::string_view Query = Target.substr(Mark + 1);
   constexpr std::string_view Name = "wait_ms=";
   if (Query.substr(0, Name.size()) != Name)
-    return std::nullopt;
+    return false;
   Query.remove_prefix(Name.size());
   std::int64_t Value = 0;
   const char *End = Query.data() + Query.size();
   const auto [Last, Code] = std::from_chars(Query.data(), End, Value);
   if (Query.empty() || Code != std::errc() || Last != End || Value < 0 ||
       Value > MaxWaitMs)
-    return std::nullopt;
-  return Value;
+    return false;
+  Out = std::chrono::milliseconds(Value);
+  return true;
+}
+
+Reply badQuery() {
+  return malformed("the only query is wait_ms=0..600000", "?wait_ms");
 }
 
 /// Reads SERVICE/ID behind "/v1/jobs/".
@@ -88,10 +128,15 @@
                 std::string(Rest.substr(Slash + 1))};
 }
 
-HttpResponse refuse(EntryRefusal Why) {
+Reply refuse(const JobKey &Key, EntryRefusal Why) {
   switch (Why) {
-  case EntryRefusal::Conflict:
-    return refusal(409, "another job with this id is in progress");
+  case EntryRefusal::Conflict: {
+    JobAnswer Answer;
+    Answer.Outcome_ = Outcome::Failed;
+    Answer.Reason_ = Reason::Conflict;
+    Answer.Detail_ = "a job with this id and other content is in progress";
+    return describe(Key, Answer);
+  }
   case EntryRefusal::TooManyJobs:
     return refusal(429, "this entry has too many jobs in progress");
   case EntryRefusal::NotReady:
@@ -101,19 +146,43 @@
   return refusal(503, "this entry is not ready");
 }
 
-/// Responds once: with the answer or, earlier, that the job runs on.
-struct Waiter {
+/// Collects the replies to the jobs of a batch.
+struct BatchState {
+  Json::Value Answers_{Json::arrayValue};
+  std::size_t Missing_ = 0;
   HttpRespond Respond_;
-  bool Done_ = false;
 
-  void finish(HttpResponse Response) {
-    if (Done_)
+  void store(Json::ArrayIndex Index, Json::Value Answer) {
+    Answers_[Index] = std::move(Answer);
+    if (--Missing_ != 0)
       return;
-    Done_ = true;
-    Respond_(std::move(Response));
+    Reply Result;
+    Result.Body_["answers"] = std::move(Answers_);
+    send(Respond_, Result);
   }
 };
 
+/// Checks the frame of a batch, not its jobs.
+std::optional<Json::Value> readBatch(const std::string &Body,
+                                     request::CodecFault &Why) {
+  const auto Value = request::parseJson(Body, Why);
+  if (!Value)
+    return std::nullopt;
+  request::FieldReader Reader(*Value, "", Why);
+  Json::Value Jobs;
+  Reader.optionalArray("jobs", Jobs);
+  if (!Reader.finish())
+    return std::nullopt;
+  if (Jobs.empty() || Jobs.size() > MaxJobsPerBatch) {
+    Why = {request::CodecError::Field,
+           "expected an array of 1 to " + std::to_string(MaxJobsPerBatch) +
+               " jobs",
+           "/jobs"};
+    return std::nullopt;
+  }
+  return Jobs;
+}
+
 } // namespace
 
 int statusOf(const JobAnswer &Answer) noexcept {
@@ -131,15 +200,17 @@
 
 void CallerApi::handle(HttpRequest Request, const HttpRespond &Respond) {
   const std::string_view Path = pathOf(Request.Target_);
-  if (Path == JobsTarget && Request.Method_ == "POST")
-    return submit(Request, Respond);
-  if (Path == BatchesTarget && Request.Method_ == "POST")
-    return submitBatch(Request, Respond);
-  if (Path == JobsTarget || Path == BatchesTarget)
-    return Respond(refusal(405, "use POST"));
-  if (Path.substr(0, JobsTarget.size() + 1) == std::string(JobsTarget) + "/")
-    return lookup(Request, Respond);
-  Respond(refusal(404, "no such resource"));
+  if (Path == JobsTarget || Path == BatchesTarget) {
+    if (Request.Method_ != "POST")
+      return refuseMethod(Respond, "POST");
+    return Path == JobsTarget ? submit(Request, Respond)
+                              : submitBatch(Request, Respond);
+  }
+  if (const auto Key = readKey(Path);
+      Key &&
+      Path.substr(0, JobsTarget.size() + 1) == std::string(JobsTarget) + "/")
+    return lookup(*Key, Request, Respond);
+  send(Respond, refusal(404, "no such resource"));
 }
 
 std::optional<request::JobSpec>
@@ -154,104 +225,73 @@
   return Spec;
 }
 
-void CallerApi::submit(const HttpRequest &Request, const HttpRespond &Respond) {
-  const auto Wait = readWait(Request.Target_, MaxWaitMs);
-  if (!Wait)
-    return Respond(refusal(400, "the only query is wait_ms=0..600000"));
+template <typename Callback>
+void CallerApi::submitJob(const Json::Value &Job,
+                          std::optional<request::Duration> Longest,
+                          const Callback &Done) {
   request::CodecFault Why;
-  const auto Body = request::parseJson(Request.Body_, Why);
-  if (!Body)
-    return Respond(refusal(400, Why.Message_));
-  auto Spec = decode(*Body, Why);
+  auto Spec = decode(Job, Why);
   if (!Spec)
-    return Respond(refusal(400, Why.Message_, Why.Position_));
+    return Done(malformed(Why.Message_, Why.Position_));
   const JobKey Key = Spec->Key_;
-  auto State = std::make_shared<Waiter>(Waiter{Respond});
   const EntryRefusal Refused = Jobs_.submit(
-      std::move(*Spec), [State, Key](const std::optional<JobAnswer> &Answer) {
-        State->finish(respond(statusOf(*Answer), describe(Key, *Answer)));
-      });
+      std::move(*Spec),
+      [Key, Done](const std::optional<JobAnswer> &Answer) {
+        Done(Answer ? describe(Key, *Answer)
+                    : describe(Key, JobLookup::Running, {}));
+      },
+      Longest);
   if (Refused != EntryRefusal::None)
-    return State->finish(refuse(Refused));
-  if (*Wait < MaxWaitMs)
-    Context_.After_(std::chrono::milliseconds(*Wait),
-                    [State, Key] { State->finish(running(Key)); });
+    Done(refuse(Key, Refused));
 }
 
-void CallerApi::submitBatch(const HttpRequest &Request,
-                            const HttpRespond &Respond) {
+void CallerApi::submit(const HttpRequest &Request, const HttpRespond &Respond) {
+  Wait Longest;
+  if (!readWait(Request.Target_, Longest))
+    return send(Respond, badQuery());
   request::CodecFault Why;
   const auto Body = request::parseJson(Request.Body_, Why);
   if (!Body)
-    return Respond(refusal(400, Why.Message_));
-  if (!Body->isObject() || Body->size() != 1 || !(*Body)["jobs"].isArray() ||
-      (*Body)["jobs"].empty() || (*Body)["jobs"].size() > MaxJobsPerBatch)
-    return Respond(refusal(400, "expected 1 to 100 jobs", "/jobs"));
-  std::vector<request::JobSpec> Specs;
-  for (const Json::Value &Value : (*Body)["jobs"]) {
-    auto Spec = decode(Value, Why);
-    if (!Spec)
-      return Respond(
-          refusal(400, Why.Message_,
-                  "/jobs/" + std::to_string(Specs.size()) + Why.Position_));
-    Specs.push_back(std::move(*Spec));
-  }
-  struct BatchState {
-    Json::Value Answers_{Json::arrayValue};
-    std::size_t Missing_ = 0;
-    HttpRespond Respond_;
-    void store(Json::ArrayIndex Index, Json::Value Answer) {
-      Answers_[Index] = std::move(Answer);
-      if (--Missing_ != 0)
-        return;
-      Json::Value Reply;
-      Reply["answers"] = std::move(Answers_);
-      Respond_(respond(200, Reply));
-    }
-  };
+    return send(Respond, malformed(Why.Message_, Why.Position_));
+  submitJob(*Body, Longest,
+            [Respond](const Reply &Answer) { send(Respond, Answer); });
+}
+
+void CallerApi::submitBatch(const HttpRequest &Request,
+                            const HttpRespond &Respond) {
+  Wait Longest;
+  if (!readWait(Request.Target_, Longest))
+    return send(Respond, badQuery());
+  request::CodecFault Why;
+  const auto Jobs = readBatch(Request.Body_, Why);
+  if (!Jobs)
+    return send(Respond, malformed(Why.Message_, Why.Position_));
   auto State = std::make_shared<BatchState>();
-  State->Missing_ = Specs.size();
+  State->Missing_ = Jobs->size();
   State->Respond_ = Respond;
-  for (Json::ArrayIndex I = 0; I < Specs.size(); ++I) {
-    const JobKey Key = Specs[I].Key_;
-    const EntryRefusal Refused =
-        Jobs_.submit(std::move(Specs[I]),
-                     [State, Key, I](const std::optional<JobAnswer> &Answer) {
-                       State->store(I, describe(Key, *Answer));
-                     });
-    if (Refused == EntryRefusal::None)
-      continue;
-    request::CodecFault Ignored;
-    State->store(I, *request::parseJson(refuse(Refused).Body_, Ignored));
-  }
+  for (Json::ArrayIndex I = 0; I < Jobs->size(); ++I)
+    submitJob((*Jobs)[I], Longest, [State, I](const Reply &Answer) {
+      State->store(I, Answer.Body_);
+    });
 }
 
-void CallerApi::lookup(const HttpRequest &Request, const HttpRespond &Respond) {
-  const auto Key = readKey(pathOf(Request.Target_));
-  if (!Key)
-    return Respond(refusal(404, "expected /v1/jobs/SERVICE/ID"));
-  LookupCallback Done = [Respond, Key = *Key](JobLookup State,
-                                              const JobAnswer &Answer) {
-    Json::Value Body;
-    writeJobKey(Body, Key);
-    switch (State) {
-    case JobLookup::Final:
-      return Respond(respond(statusOf(Answer), describe(Key, Answer)));
-    case JobLookup::Running:
-      return Respond(running(Key));
-    case JobLookup::Unknown:
-      Body["state"] = "unknown";
-      return Respond(respond(404, Body));
-    case JobLookup::Unreachable:
-      break;
-    }
-    Respond(refusal(503, "the job's home does not answer; try again"));
+void CallerApi::lookup(const JobKey &Key, const HttpRequest &Request,
+                       const HttpRespond &Respond) {
+  const LookupCallback Done = [Respond, Key](JobLookup State,
+                                             const JobAnswer &Answer) {
+    send(Respond, describe(Key, State, Answer));
   };
-  if (Request.Method_ == "GET")
-    return Jobs_.lookup(*Key, std::move(Done));
-  if (Request.Method_ == "DELETE")
-    return Jobs_.cancel(*Key, std::move(Done));
-  Respond(refusal(405, "use GET or DELETE"));
+  if (Request.Method_ == "GET") {
+    Wait Longest = std::chrono::milliseconds(0);
+    if (!readWait(Request.Target_, Longest))
+      return send(Respond, badQuery());
+    return Jobs_.lookup(Key, Done, *Longest);
+  }
+  if (Request.Method_ != "DELETE")
+    return refuseMethod(Respond, "GET, DELETE");
+  if (Request.Target_.find('?') != std::string::npos)
+    return send(Respond, malformed("DELETE takes no query", "?"));
+  Jobs_.cancel(Key, Done);
 }
 
 } // namespace wigeonwall::process
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -3,6 +3,8 @@
 #include "wigeonwall/process/earlier_holders.h"
 #include "wigeonwall/request/codec.h"
 
+#include <algorithm>
+
 namespace wigeonwall::process {
 
 using request::JobAnswer;
@@ -22,6 +24,10 @@
 /// Longer than membership and the map need to replace a home that died, so
 /// that the copy holder is asked only when the map cannot change.
 constexpr std::chrono::seconds SettleAfterSilence{10};
+/// A waiting lookup asks the home with a period that doubles between these, so
+/// that it ends late by at most the time it has waited and sends few messages.
+constexpr std::chrono::milliseconds FirstPollPeriod{50};
+constexpr std::chrono::seconds MaxPollPeriod{1};
 
 JobAnswer negative(Outcome Kind, Reason Why, std::string Detail) {
   JobAnswer Answer;
@@ -31,8 +37,23 @@
   return Answer;
 }
 
+/// Text of a field of a peer's reply; "" unless it is a string.
+std::string readText(const Json::Value &Value, const char *Field) {
+  if (!Value.isObject() || !Value[Field].isString())
+    return {};
+  return Value[Field].asString();
+}
+
 } // namespace
 
+/// A lookup that waits for the end of a job submitted elsewhere.
+struct Entry::Watch {
+  JobKey Key_;
+  LookupCallback Done_;
+  request::TimePoint End_;
+  request::Duration Period_;
+};
+
 Entry::Entry(AgentContext Context, std::size_t MaxJobs)
     : Context_(std::move(Context)), MaxJobs_(MaxJobs) {}
 
@@ -43,14 +64,15 @@
   return Found->second.get();
 }
 
-EntryRefusal Entry::submit(JobSpec Spec, AnswerCallback Done) {
+EntryRefusal Entry::submit(JobSpec Spec, AnswerCallback Done,
+                           std::optional<request::Duration> Wait) {
   if (!Context_.View_()->ready())
     return EntryRefusal::NotReady;
   const std::uint64_t Fingerprint = request::fingerprint(Spec);
   if (const auto Found = Pending_.find(Spec.Key_); Found != Pending_.end()) {
     if (Found->second->Fingerprint_ != Fingerprint)
       return EntryRefusal::Conflict;
-    Found->second->Waiting_.push_back(std::move(Done));
+    wait(*Found->second, std::move(Done), Wait);
     return EntryRefusal::None;
   }
   if (Pending_.size() >= MaxJobs_)
@@ -58,22 +80,56 @@
   auto Job = std::make_unique<Pending>();
   Job->Fingerprint_ = Fingerprint;
   Job->Serial_ = NextSerial_++;
-  Job->Waiting_.push_back(std::move(Done));
   Job->Deadline_ = Context_.Now_() + Spec.Timeout_ + AnswerGrace;
   Job->Spec_ = std::move(Spec);
   Pending &Stored = *Job;
   Pending_[Stored.Spec_.Key_] = std::move(Job);
+  wait(Stored, std::move(Done), Wait);
   ask(Stored);
   return EntryRefusal::None;
 }
 
+void Entry::wait(Pending &Job, AnswerCallback Done,
+                 std::optional<request::Duration> Wait) {
+  const std::uint64_t Id = NextWaiter_++;
+  Job.Waiting_.push_back({Id, std::move(Done)});
+  // The timer holds no callback, so that an answered connection is released.
+  if (Wait)
+    Context_.After_(*Wait, [this, Key = Job.Spec_.Key_, Serial = Job.Serial_,
+                            Id] { endWait(Key, Serial, Id); });
+}
+
+void Entry::endWait(const JobKey &Key, std::uint64_t Serial, std::uint64_t Id) {
+  Pending *Job = find(Key, Serial);
+  if (Job == nullptr)
+    return;
+  const auto Found =
+      std::find_if(Job->Waiting_.begin(), Job->Waiting_.end(),
+                   [Id](const Waiter &Each) { return Each.Id_ == Id; });
+  if (Found == Job->Waiting_.end())
+    return;
+  const AnswerCallback Done = std::move(Found->Done_);
+  Job->Waiting_.erase(Found);
+  Done(std::nullopt);
+}
+
+std::size_t Entry::waiters() const noexcept {
+  std::size_t Count = 0;
+  for (const auto &[Key, Job] : Pending_)
+    Count += Job->Waiting_.size();
+  return Count;
+}
+
 void Entry::ask(Pending &Job) {
   const auto View = Context_.View_();
   std::string Address = Job.MovedTo_;
   if (Address.empty()) {
     const version::HolderPair Pair = View->Map_->holders(Job.Spec_.Key_);
-    if (Pair.Home_ == nullptr)
+    if (Pair.Home_ == nullptr) {
+      if (View->Config_->findService(Job.Spec_.Key_.Service_) == nullptr)
+        return failUnknownService(Job);
       return askLater(Job, AskAgainAfterError);
+    }
     Address = Pair.Home_->TrafficAddress_;
   }
   Json::Value Params;
@@ -89,6 +145,16 @@
                  });
 }
 
+void Entry::failUnknownService(const Pending &Job) {
+  // No process can be the home of the job, so the entry answers itself.
+  Context_.After_(request::Duration::zero(), [this, Key = Job.Spec_.Key_,
+                                              Serial = Job.Serial_] {
+    if (Pending *Current = find(Key, Serial))
+      answer(*Current, negative(Outcome::Failed, Reason::UnknownService,
+                                "no service " + Key.Service_));
+  });
+}
+
 void Entry::onReply(Pending &Job, const connection::RpcResult &Result) {
   Job.Asking_ = false;
   if (!Result.ok()) {
@@ -101,7 +167,7 @@
     return askLater(Job, AskAgainAfterError);
   }
   Job.SilentSince_.reset();
-  const std::string State = Result.Value_["state"].asString();
+  const std::string State = readText(Result.Value_, "state");
   if (State == "final") {
     request::CodecFault Why;
     if (const auto Answer = request::decodeAnswer(Result.Value_["answer"], Why))
@@ -109,7 +175,7 @@
   }
   if (State == "refused")
     return onRefused(Job, request::findValue(request::ReasonNames,
-                                             Result.Value_["reason"].asString())
+                                             readText(Result.Value_, "reason"))
                               .value_or(Reason::Retry));
   Job.AskAgainAt_ = Context_.Now_() + AskAgainWhenSilent;
 }
@@ -203,8 +269,8 @@
   const JobKey Key = Job.Spec_.Key_;
   const auto Waiting = std::move(Job.Waiting_);
   Pending_.erase(Key);
-  for (const AnswerCallback &Done : Waiting)
-    Done(Answer);
+  for (const Waiter &Each : Waiting)
+    Each.Done_(Answer);
 }
 
 void Entry::tick() {
@@ -220,12 +286,44 @@
   for (Pending *Job : Silent)
     ask(*Job);
   for (Pending *Job : Overdue)
-    answer(*Job, negative(Outcome::Failed, Reason::DeadlineExceeded,
-                          "no answer arrived before the deadline"));
+    answer(*Job, Job->SilentSince_
+                     ? negative(Outcome::Failed, Reason::OutcomeUnknown,
+                                "the job's home did not answer")
+                     : negative(Outcome::Failed, Reason::DeadlineExceeded,
+                                "no answer arrived before the deadline"));
+}
+
+void Entry::lookup(const JobKey &Key, LookupCallback Done,
+                   request::Duration Wait) {
+  if (Wait <= request::Duration::zero())
+    return query("job.status", Key, std::move(Done));
+  if (const auto Found = Pending_.find(Key); Found != Pending_.end())
+    return wait(
+        *Found->second,
+        [Done = std::move(Done)](const std::optional<JobAnswer> &Answer) {
+          Done(Answer ? JobLookup::Final : JobLookup::Running,
+               Answer.value_or(JobAnswer{}));
+        },
+        Wait);
+  ++Watches_;
+  poll(std::make_shared<Watch>(
+      Watch{Key, std::move(Done), Context_.Now_() + Wait, FirstPollPeriod}));
 }
 
-void Entry::lookup(const JobKey &Key, LookupCallback Done) {
-  query("job.status", Key, std::move(Done));
+void Entry::poll(const std::shared_ptr<Watch> &Each) {
+  query("job.status", Each->Key_,
+        [this, Each](JobLookup State, const JobAnswer &Answer) {
+          const request::TimePoint Now = Context_.Now_();
+          if (State != JobLookup::Running || Now >= Each->End_) {
+            --Watches_;
+            return Each->Done_(State, Answer);
+          }
+          const request::Duration Delay =
+              std::min(Each->Period_, Each->End_ - Now);
+          Each->Period_ =
+              std::min<request::Duration>(2 * Each->Period_, MaxPollPeriod);
+          Context_.After_(Delay, [this, Each] { poll(Each); });
+        });
 }
 
 void Entry::cancel(const JobKey &Key, LookupCallback Done) {
@@ -243,15 +341,22 @@
   writeJobKey(Params, Key);
   Context_.Call_(
       Home->TrafficAddress_, Method, std::move(Params), CallTimeout,
-      [Done = std::move(Done)](const connection::RpcResult &Result) {
-        if (!Result.ok())
-          return Done(JobLookup::Unreachable, {});
-        const std::string State = Result.Value_["state"].asString();
+      [this, Key, Done = std::move(Done)](const connection::RpcResult &Result) {
+        const std::string State =
+            Result.ok() ? readText(Result.Value_, "state") : "";
         request::CodecFault Why;
-        const auto Answer = request::decodeAnswer(Result.Value_["answer"], Why);
-        if (State == "final" && Answer)
-          return Done(JobLookup::Final, *Answer);
-        Done(State == "pending" ? JobLookup::Running : JobLookup::Unknown, {});
+        if (State == "final")
+          if (const auto Answer =
+                  request::decodeAnswer(Result.Value_["answer"], Why))
+            return Done(JobLookup::Final, *Answer);
+        if (State == "pending")
+          return Done(JobLookup::Running, {});
+        // A job that this entry submits may not have reached its home yet.
+        if (State == "unknown")
+          return Done(Pending_.count(Key) != 0 ? JobLookup::Running
+                                               : JobLookup::Unknown,
+                      {});
+        Done(JobLookup::Unreachable, {});
       });
 }
 
