Announce addresses that differ from the listen addresses

A process told its listen addresses to others, so nothing could stand between two processes: neither address translation nor a relay that delays traffic in a measurement.

The optional settings control_announce and traffic_announce in [process] name the addresses that others use; the default is the listen address. The member, the home identity and the reply address of the first entry thread use them. The other entry threads keep their own ports under the announced IP.

--- a/packages/process/include/wigeonwall/process/entry_role.h
+++ b/packages/process/include/wigeonwall/process/entry_role.h
@@ -33,7 +33,8 @@
 
 private:
   AgentContext Context_;
-  std::string Host_;
+  connection::Endpoint Announced_;
+  std::uint32_t Shard_;
   connection::RpcServer Answers_;
   Entry Jobs_;
   CallerApi Api_;
--- a/packages/process/include/wigeonwall/process/settings.h
+++ b/packages/process/include/wigeonwall/process/settings.h
@@ -50,10 +50,14 @@
   std::string Id_;
   Role Role_ = Role::Agent;
   std::string FailureDomain_;
-  /// Announced to other processes, so never a wildcard address.
+  /// Never a wildcard address, because it is announced by default.
   connection::Endpoint ControlListen_;
-  /// Announced to other processes, so never a wildcard address.
+  /// Never a wildcard address, because it is announced by default.
   connection::Endpoint TrafficListen_;
+  /// Set when other processes reach this one under another address.
+  std::optional<connection::Endpoint> ControlAnnounce_;
+  /// Set when other processes reach this one under another address.
+  std::optional<connection::Endpoint> TrafficAnnounce_;
   connection::Endpoint AdminListen_;
   /// Empty for the first process of a system.
   std::vector<connection::Endpoint> Seeds_;
@@ -65,6 +69,15 @@
   std::string TraceFile_;
   EntrySettings Entry_;
   AgentSettings Agent_;
+
+  /// \brief Control address that other processes use.
+  [[nodiscard]] const connection::Endpoint &controlAddress() const noexcept {
+    return ControlAnnounce_ ? *ControlAnnounce_ : ControlListen_;
+  }
+  /// \brief Traffic address that other processes use.
+  [[nodiscard]] const connection::Endpoint &trafficAddress() const noexcept {
+    return TrafficAnnounce_ ? *TrafficAnnounce_ : TrafficListen_;
+  }
 };
 
 /// \brief Errors of reading settings.
--- a/packages/process/src/entry_role.cpp
+++ b/packages/process/src/entry_role.cpp
@@ -36,7 +36,7 @@
                      Counters &ProcessCounters)
     : Context_(makeRoleContext(Traffic, Options, Incarnation, Views,
                                ProcessCounters)),
-      Host_(Options.TrafficListen_.Host_),
+      Announced_(Options.trafficAddress()), Shard_(Shard),
       Answers_(Traffic, answersAddress(Options, Shard), trafficLimits(),
                makeMessageObserver(ProcessCounters)),
       Jobs_(Context_, MaxJobs), Api_(Context_, Jobs_),
@@ -55,7 +55,10 @@
 bool EntryRole::listen() {
   if (!Answers_.listen() || !Callers_.listen())
     return false;
-  Jobs_.setReplyTo(connection::formatEndpoint({Host_, Answers_.port()}));
+  connection::Endpoint ReplyTo = Announced_;
+  if (Shard_ != 0)
+    ReplyTo.Port_ = Answers_.port();
+  Jobs_.setReplyTo(connection::formatEndpoint(ReplyTo));
   return true;
 }
 
--- a/packages/process/src/process_host.cpp
+++ b/packages/process/src/process_host.cpp
@@ -109,9 +109,9 @@
   Result.Own_.Role_ = Options_.Role_;
   Result.Own_.Incarnation_ = Incarnation_;
   Result.Own_.ControlAddress_ =
-      connection::formatEndpoint(Options_.ControlListen_);
+      connection::formatEndpoint(Options_.controlAddress());
   Result.Own_.TrafficAddress_ =
-      connection::formatEndpoint(Options_.TrafficListen_);
+      connection::formatEndpoint(Options_.trafficAddress());
   Result.Own_.FailureDomain_ = Options_.FailureDomain_;
   Result.Own_.Service_ = Options_.Agent_.Service_;
   for (const connection::Endpoint &Seed : Options_.Seeds_)
--- a/packages/process/src/role_context.cpp
+++ b/packages/process/src/role_context.cpp
@@ -23,7 +23,7 @@
   auto Client = std::make_shared<connection::RpcClient>(
       Traffic, connection::HttpClientLimits{}, Observer);
   return {{Options.Id_, Incarnation,
-           connection::formatEndpoint(Options.TrafficListen_)},
+           connection::formatEndpoint(Options.trafficAddress())},
           steadyClock(),
           systemClock(),
           makeSchedule(Traffic),
--- a/packages/process/src/settings.cpp
+++ b/packages/process/src/settings.cpp
@@ -161,6 +161,9 @@
       Claim(Result_.Entry_.CallersListen_, "entry", "callers_listen");
     else
       Claim(Result_.Agent_.Minion_, "agent", "minion");
+    if (Result_.controlAddress() == Result_.trafficAddress())
+      fail(SettingsError::BadValue, SectionLines_["process"],
+           "[process] traffic_announce: same address as the control address");
   }
 
   bool fail(SettingsError Code, int Line, std::string Message) {
--- a/packages/process/src/settings_keys.cpp
+++ b/packages/process/src/settings_keys.cpp
@@ -76,6 +76,11 @@
   return {};
 }
 
+std::string readAnnounced(const std::string &Text,
+                          std::optional<Endpoint> &Out) {
+  return readEndpoint(Text, Wildcard::Refused, Out.emplace());
+}
+
 std::string trim(const std::string &Text) {
   const std::size_t First = Text.find_first_not_of(" \t");
   if (First == std::string::npos)
@@ -124,6 +129,14 @@
        [](auto &Text, Settings &To) {
          return readEndpoint(Text, Wildcard::Allowed, To.AdminListen_);
        }},
+      {Section, "control_announce", false,
+       [](auto &Text, Settings &To) {
+         return readAnnounced(Text, To.ControlAnnounce_);
+       }},
+      {Section, "traffic_announce", false,
+       [](auto &Text, Settings &To) {
+         return readAnnounced(Text, To.TrafficAnnounce_);
+       }},
       {Section, "seeds", true,
        [](auto &Text, Settings &To) {
          return Text.empty() ? std::string() : readEndpoints(Text, To.Seeds_);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -78,6 +78,10 @@
      "f:5: [process] control_listen:"},
     {"127.0.0.1:2\n", "127.0.0.1:1\n", SettingsError::BadValue,
      "f:1: [process] traffic_listen: same address"},
+    {"seeds =", "control_announce = 0.0.0.0:5\nseeds =",
+     SettingsError::BadValue, "f:8: [process] control_announce:"},
+    {"seeds =", "traffic_announce = 127.0.0.1:1\nseeds =",
+     SettingsError::BadValue, "f:1: [process] traffic_announce: same address"},
     {"seeds =", "seeds = 127.0.0.1:5,", SettingsError::BadValue,
      "f:8: [process] seeds:"},
     {"seeds =", "seeds = 127.0.0.1:5,127.0.0.1:5", SettingsError::BadValue,
@@ -120,6 +124,25 @@
       (Loaded->Agent_.Placement_ == request::PlacementPolicy::LeastLoaded));
 }
 
+// Guards against a process that announces an address nobody can reach it at.
+BOOST_AUTO_TEST_CASE(announced_addresses_replace_the_listen_addresses) {
+  SettingsFault Why;
+  const auto Plain = parseSettings(ValidAgent, "f", Why);
+  BOOST_REQUIRE_MESSAGE(Plain.has_value(), describe(Why));
+  BOOST_TEST(Plain->controlAddress().Port_ == 1);
+  BOOST_TEST(Plain->trafficAddress().Port_ == 2);
+  std::string Text = ValidAgent;
+  Text.replace(Text.find("seeds ="), 0,
+               "control_announce = 10.0.0.1:5\n"
+               "traffic_announce = 10.0.0.1:6\n");
+  const auto Loaded = parseSettings(Text, "f", Why);
+  BOOST_REQUIRE_MESSAGE(Loaded.has_value(), describe(Why));
+  BOOST_TEST(Loaded->ControlListen_.Port_ == 1);
+  BOOST_TEST(Loaded->controlAddress().Host_ == "10.0.0.1");
+  BOOST_TEST(Loaded->controlAddress().Port_ == 5);
+  BOOST_TEST(Loaded->trafficAddress().Port_ == 6);
+}
+
 // Guards against inih splitting a line that is longer than its buffer.
 BOOST_AUTO_TEST_CASE(long_line_is_one_line) {
   std::string Text = ValidAgent;
