Leave the map at the beginning of a planned stop and answer seals until the end

Cause: restarting agents one after the other, 2.2 s each, ended 58 of 213 new jobs as outcome_unknown: both holders of an earlier pair had stopped within the clock tolerance of 5 s. A stopping home also stayed in the map until it was drained, so entries waited with all of its jobs. Ruled out: lost records, since none of the failed jobs had run. Change: an agent first takes no new work, then is removed from the map at once with stopped_at_ms, and stays 6 s to answer whether it knows a job. While leaving it also refuses to record new jobs as copy holder, which stopped_at_ms promises.

--- a/packages/process/include/wigeonwall/process/control_plane.h
+++ b/packages/process/include/wigeonwall/process/control_plane.h
@@ -80,10 +80,11 @@
   [[nodiscard]] bool start();
   /// \brief The own member, with the port in use after start().
   [[nodiscard]] const Member &own() const noexcept;
-  /// \brief Tells the others of a planned stop; they send no new work.
+  /// \brief Tells the others of a planned stop; they send no new work, and the
+  /// map names other homes. Call when this process accepts no job any more.
   void beginLeaving();
   /// \brief States that this process has left and, best effort, removes it
-  /// from the map; call when it accepts no job any more and is drained.
+  /// from the map; call when it is drained.
   void leave(std::function<void()> Done);
   /// \brief Closes the control address and ends all timers.
   void stop();
--- a/packages/process/src/control_plane.cpp
+++ b/packages/process/src/control_plane.cpp
@@ -75,6 +75,8 @@
   connection::asio::steady_timer Timer_;
   bool PublishScheduled_ = false;
   bool Stopped_ = false;
+  /// Unix time in ms of beginLeaving(); 0 before.
+  std::int64_t StoppedAtMs_ = 0;
   AliveToken Alive_;
 };
 
@@ -348,12 +350,18 @@
   return State_->Members_ ? State_->Members_->own() : State_->Options_.Own_;
 }
 
-void ControlPlane::beginLeaving() { State_->Members_->beginLeaving(); }
+void ControlPlane::beginLeaving() {
+  State_->StoppedAtMs_ = State_->Dependencies_.WallClockMs_();
+  State_->Members_->beginLeaving();
+  // Entries wait with the jobs of this home until the map names another one.
+  State_->Maintainer_->removeOwn(State_->StoppedAtMs_, [] {});
+}
 
 void ControlPlane::leave(std::function<void()> Done) {
-  const std::int64_t StoppedAtMs = State_->Dependencies_.WallClockMs_();
-  State_->Members_->leave(StoppedAtMs);
-  State_->Maintainer_->removeOwn(StoppedAtMs, std::move(Done));
+  if (State_->StoppedAtMs_ == 0)
+    State_->StoppedAtMs_ = State_->Dependencies_.WallClockMs_();
+  State_->Members_->leave(State_->StoppedAtMs_);
+  State_->Maintainer_->removeOwn(State_->StoppedAtMs_, std::move(Done));
 }
 
 void ControlPlane::stop() {
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -406,6 +406,9 @@
   const auto View = Context_.View_();
   return handleItems(Params, [&](const Json::Value &Item) {
     const JobKey Key = readJobKey(Item);
+    // After stopped_at_ms this process must not let a job start.
+    if (Leaving_ && Copies_.find(Key) == nullptr)
+      return stateOnly("retry");
     const PrepareResult Result = Copies_.prepare(
         Key, readUnsigned(Item, "fingerprint"), From,
         readUnsigned(Item, "epoch"), currentEpoch(*View), retention(*View));
--- a/packages/process/src/process_host.cpp
+++ b/packages/process/src/process_host.cpp
@@ -22,6 +22,10 @@
 /// Time for the balancer to see that an entry is not ready and for homes to
 /// see that an agent leaves, before the first check for remaining work.
 constexpr std::chrono::milliseconds DrainGrace{1'000};
+/// A stopped agent goes on to answer whether it knows a job for longer than the
+/// clock tolerance of `stopped_at_ms`. Without it, a restart of both holders of
+/// a job within that time ends new jobs as outcome_unknown.
+constexpr std::chrono::seconds AgentLinger{6};
 /// Longest planned stop of an entry, which has no setting for it.
 constexpr std::chrono::milliseconds EntryDrainTimeout{30'000};
 
@@ -59,6 +63,7 @@
   connection::HttpServer Admin_;
   asio::signal_set Signals_;
   Schedule After_;
+  request::TimePoint StopBegan_;
   request::TimePoint StopDeadline_;
   bool Stopping_ = false;
   ExitCode Result_ = ExitCode::Done;
@@ -154,20 +159,23 @@
     return;
   Stopping_ = true;
   logEvent("process", "stop_began", {{"cause", Cause}});
-  Plane_.beginLeaving();
-  Role_->beginLeaving();
-  StopDeadline_ = steadyClock()() + (Options_.Role_ == Role::Agent
-                                         ? Options_.Agent_.DrainTimeout_
-                                         : EntryDrainTimeout);
+  StopBegan_ = steadyClock()();
+  Role_->beginLeaving([this] { Plane_.beginLeaving(); });
+  StopDeadline_ = StopBegan_ + (Options_.Role_ == Role::Agent
+                                    ? Options_.Agent_.DrainTimeout_
+                                    : EntryDrainTimeout);
   After_(DrainGrace, [this] { checkDrained(); });
 }
 
 void ProcessHost::Implementation::checkDrained() {
   Role_->checkDrained([this](bool Drained) {
-    if (Drained)
+    const request::TimePoint Now = steadyClock()();
+    const bool Lingered =
+        Options_.Role_ == Role::Entry || Now - StopBegan_ >= AgentLinger;
+    if (Drained && Lingered)
       return finishStop(ExitCode::Done);
-    if (steadyClock()() >= StopDeadline_)
-      return finishStop(ExitCode::Failed);
+    if (Now >= StopDeadline_)
+      return finishStop(Drained ? ExitCode::Done : ExitCode::Failed);
     After_(DrainCheckPeriod, [this] { checkDrained(); });
   });
 }
--- a/packages/process/src/role_threads.cpp
+++ b/packages/process/src/role_threads.cpp
@@ -26,8 +26,11 @@
   void onViewChange() override {
     Loop_.post([this] { Role_.onViewChange(); });
   }
-  void beginLeaving() override {
-    Loop_.post([this] { Role_.beginLeaving(); });
+  void beginLeaving(std::function<void()> Done) override {
+    Loop_.post([this, Done = std::move(Done)] {
+      Role_.beginLeaving();
+      Dependencies_.PostToControl_(Done);
+    });
   }
   void checkDrained(std::function<void(bool)> Done) override {
     Loop_.post([this, Done = std::move(Done)] {
@@ -64,9 +67,11 @@
     return true;
   }
   void onViewChange() override {}
-  void beginLeaving() override {
+  void beginLeaving(std::function<void()> Done) override {
     for (std::size_t I = 0; I < Shards_.size(); ++I)
       Loops_[I]->post([Shard = Shards_[I].get()] { Shard->beginLeaving(); });
+    // An entry is no home; nothing depends on when its shards stop.
+    Done();
   }
   void checkDrained(std::function<void(bool)> Done) override {
     auto Result = std::make_shared<Tally>();
--- a/packages/process/src/role_threads.h
+++ b/packages/process/src/role_threads.h
@@ -21,8 +21,9 @@
   [[nodiscard]] virtual bool start() = 0;
   /// \brief Passes a new view on to the traffic threads.
   virtual void onViewChange() = 0;
-  /// \brief Begins a planned stop.
-  virtual void beginLeaving() = 0;
+  /// \brief Begins a planned stop; \p Done is called on the control thread when
+  /// the role takes no new work any more.
+  virtual void beginLeaving(std::function<void()> Done) = 0;
   /// \brief Calls \p Done on the control thread with whether all work ended.
   virtual void checkDrained(std::function<void(bool)> Done) = 0;
   /// \brief Ends the threads.
