Enforce the timeout, idempotency and record limits of the configuration

Cause: max_timeout_ms and non_idempotent of a kind and max_records were read but had no effect. Change: a job with a longer timeout is refused as timeout_too_long; tasks of a non-idempotent kind are marked so towards the minion; a home at its record limit takes no new job, and the entry asks again once a second until the deadline.

--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds AskAgainAfterRefusal{50};
+constexpr std::chrono::milliseconds AskAgainWithoutRoom{1'000};
 constexpr std::chrono::milliseconds AskAgainAfterError{100};
 constexpr std::chrono::seconds AskAgainWhenSilent{2};
 /// The home answers at the deadline itself; the entry only when that answer
@@ -185,7 +186,9 @@
     return answer(Job, negative(Outcome::Failed, Reason::Conflict,
                                 "another job has this id"));
   Job.MovedTo_.clear();
-  askLater(Job, AskAgainAfterRefusal);
+  // A home without room for a record frees some as records expire.
+  askLater(Job, Why == Reason::Overloaded ? AskAgainWithoutRoom
+                                          : AskAgainAfterRefusal);
 }
 
 void Entry::askLater(Pending &Job, request::Duration Delay) {
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -57,6 +57,15 @@
   return Reply;
 }
 
+/// A kind may be non-idempotent whatever the caller says.
+void markNonIdempotent(JobSpec &Spec, const version::Config &Config) {
+  const auto *Service = Config.findService(Spec.Key_.Service_);
+  const auto *Kind =
+      Service == nullptr ? nullptr : Service->findKind(Spec.Kind_);
+  if (Kind != nullptr && Kind->NonIdempotent_)
+    Spec.NonIdempotent_ = true;
+}
+
 bool sameHolder(const version::MapAgent *Agent,
                 const request::HomeIdentity &Self) {
   return Agent != nullptr && Agent->Id_ == Self.Id_ &&
@@ -123,6 +132,9 @@
   std::shared_ptr<const ClusterView> View;
   if (!sameHolder(currentPair(Spec->Key_, View).Home_, Context_.Self_))
     return refused(Reason::Retry);
+  // Without room for a record there can be no final answer either.
+  if (Jobs_.size() >= View->Config_->Limits_.MaxRecords_)
+    return refused(Reason::Overloaded);
   return accept(std::move(*Spec), ReplyTo);
 }
 
@@ -223,6 +235,10 @@
   if (Kind->QueueLimit_ == 0 || Team->MaxTasksInFlight_ == 0)
     return negative(Outcome::NotRun, Reason::LimitIsZero,
                     "the kind or the team is closed");
+  if (Spec.Timeout_ > Kind->MaxTimeout_)
+    return negative(Outcome::NotRun, Reason::TimeoutTooLong,
+                    "the kind allows " +
+                        std::to_string(Kind->MaxTimeout_.count()) + " ms");
   if (Spec.Tasks_.size() > Kind->MaxTasksPerJob_)
     return negative(Outcome::NotRun, Reason::TooManyTasks,
                     "the kind allows " + std::to_string(Kind->MaxTasksPerJob_) +
@@ -242,6 +258,7 @@
 void Home::admit(JobRecord &Record) {
   Record.Refusal_ = checkAgainstConfig(Record.Spec_);
   if (!Record.Refusal_) {
+    markNonIdempotent(Record.Spec_, *Context_.View_()->Config_);
     const Reason Why = Policy_.admit(Record);
     Record.Admitted_ = Why == Reason::None;
     if (!Record.Admitted_)
--- a/packages/request/include/wigeonwall/request/types.h
+++ b/packages/request/include/wigeonwall/request/types.h
@@ -82,6 +82,7 @@
   UnknownKind,
   UnknownTeam,
   TooManyTasks,
+  TimeoutTooLong,
   LimitIsZero,
   Overloaded,
   QueueFull,
@@ -105,12 +106,13 @@
   Duplicate,
 };
 
-inline constexpr std::array<EnumName<Reason>, 24> ReasonNames{{
+inline constexpr std::array<EnumName<Reason>, 25> ReasonNames{{
     {Reason::None, "none"},
     {Reason::UnknownService, "unknown_service"},
     {Reason::UnknownKind, "unknown_kind"},
     {Reason::UnknownTeam, "unknown_team"},
     {Reason::TooManyTasks, "too_many_tasks"},
+    {Reason::TimeoutTooLong, "timeout_too_long"},
     {Reason::LimitIsZero, "limit_is_zero"},
     {Reason::Overloaded, "overloaded"},
     {Reason::QueueFull, "queue_full"},
--- a/tests/standins/job_cluster.cpp
+++ b/tests/standins/job_cluster.cpp
@@ -28,7 +28,7 @@
   Each.Name_ = Kind;
   Each.QueueLimit_ = 10'000;
   Each.MaxTasksPerJob_ = 170;
-  Each.MaxTimeout_ = std::chrono::minutes(10);
+  Each.MaxTimeout_ = std::chrono::minutes(5);
   Config->Services_ = {{Service, {Each}}};
   Config->Teams_ = {{Team, 100'000}};
   return Config;
--- a/tests/unit/job_path_test.cpp
+++ b/tests/unit/job_path_test.cpp
@@ -31,6 +31,35 @@
   BOOST_TEST(Cluster.answers()[0].Answer_.Results_.size() == 40U);
 }
 
+BOOST_AUTO_TEST_CASE(jobs_that_can_never_run_are_refused_at_once) {
+  struct Case {
+    const char *Name_;
+    std::function<void(request::JobSpec &)> Change_;
+    Reason Expected_;
+  };
+  const Case Cases[] = {
+      {"unknown kind", [](auto &Spec) { Spec.Kind_ = "none"; },
+       Reason::UnknownKind},
+      {"unknown team", [](auto &Spec) { Spec.Team_ = "none"; },
+       Reason::UnknownTeam},
+      {"timeout over the kind's bound",
+       [](auto &Spec) { Spec.Timeout_ = std::chrono::minutes(6); },
+       Reason::TimeoutTooLong},
+  };
+  for (const Case &Each : Cases) {
+    BOOST_TEST_CONTEXT(Each.Name_) {
+      JobCluster Cluster({});
+      auto Spec = Cluster.job("j", 2, 10);
+      Each.Change_(Spec);
+      Cluster.submit("e0", Spec);
+      Cluster.time().advance(milliseconds(50));
+      BOOST_REQUIRE(Cluster.answers().size() == 1U);
+      BOOST_TEST((Cluster.answers()[0].Answer_.Reason_ == Each.Expected_));
+      checkPromises(Cluster);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(resubmission_joins_the_job_at_any_time) {
   // Through another entry: at once, while it runs, and after its end.
   for (const int DelayMs : {0, 1, 50, 5'000, 500'000}) {
