--- a/packages/connection/include/wigeonwall/connection/http_client.h
+++ b/packages/connection/include/wigeonwall/connection/http_client.h
@@ -48,6 +48,8 @@
   /// Idle connections close after this; shorter than the idle timeout of
   /// servers, so that a request seldom meets a connection being closed.
   std::chrono::milliseconds IdleTimeout_{10'000};
+  /// A response with a longer body ends its exchange as Ambiguous.
+  std::uint64_t ResponseBytes_ = 64ULL * 1024 * 1024;
 };
 
 /// \brief Sends requests; each uses one connection until its response is read.
@@ -66,6 +68,8 @@
             std::chrono::milliseconds Timeout, HttpCallback Done);
   /// \brief Closes idle connections to a peer that is gone.
   void forget(const Endpoint &Peer);
+  /// \brief Open connections without a request.
+  [[nodiscard]] std::size_t idleCount(const Endpoint &Peer) const;
 
 private:
   struct State;
--- a/packages/connection/include/wigeonwall/connection/http_server.h
+++ b/packages/connection/include/wigeonwall/connection/http_server.h
@@ -37,8 +37,8 @@
 /// \brief Accepts connections and passes requests to a handler.
 ///
 /// All work runs on the given context, which must have one thread. A malformed
-/// request gets 400, an oversized one 413 or 431, a slow one 408 and a close;
-/// over the connection limit a connection is closed at once.
+/// request gets 400, an oversized one 413 or 431, a slow or truncated one a
+/// close; over the connection limit a connection is closed at once.
 /// \code
 /// HttpServer Server(Context, {"127.0.0.1", 0}, {}, Handler);
 /// Server.listen();
--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -29,15 +29,22 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
   using Released = std::function<void(std::shared_ptr<ClientConnection>, bool)>;
+  /// Called when a connection closes while idle.
+  using IdleClosed = std::function<void(const ClientConnection *)>;
 
-  ClientConnection(asio::io_context &Context, Released OnRelease)
-      : Stream_(Context), OnRelease_(std::move(OnRelease)) {}
+  ClientConnection(asio::io_context &Context, std::uint64_t MaxResponseBytes,
+                   Released OnRelease, IdleClosed OnIdleClosed)
+      : Stream_(Context), IdleTimer_(Context),
+        MaxResponseBytes_(MaxResponseBytes), OnRelease_(std::move(OnRelease)),
+        OnIdleClosed_(std::move(OnIdleClosed)) {}
 
   void connectAndRun(const Tcp::endpoint &Peer,
                      std::chrono::milliseconds ConnectTimeout,
                      PendingRequest Request) {
     Request_.emplace(std::move(Request));
-    Stream_.expires_after(ConnectTimeout);
+    Stream_.expires_at(
+        std::min(Request_->Deadline_,
+                 std::chrono::steady_clock::now() + ConnectTimeout));
     Stream_.async_connect(Peer, [Self = shared_from_this()](auto Error) {
       if (Error)
         return Self->finish(TransportError::NotSent, Error.message());
@@ -53,16 +60,21 @@
     write();
   }
 
+  /// \brief Closes the connection when the peer does or \p IdleTimeout passes.
   void watchIdle(std::chrono::milliseconds IdleTimeout) {
-    Stream_.expires_after(IdleTimeout);
-    Stream_.socket().async_wait(
-        Tcp::socket::wait_read,
-        [Weak = weak_from_this(), Turn = ++IdleTurn_](auto) {
-          auto Self = Weak.lock();
-          // Readable while idle means that the peer closed the connection.
-          if (Self && !Self->Request_ && Self->IdleTurn_ == Turn)
-            Self->close();
-        });
+    ++IdleTurn_;
+    const auto CloseIfIdle = [Weak = weak_from_this(), Turn = IdleTurn_](auto) {
+      auto Self = Weak.lock();
+      if (!Self || Self->Request_ || Self->IdleTurn_ != Turn)
+        return;
+      Self->close();
+      Self->OnIdleClosed_(Self.get());
+    };
+    // Readable while idle means that the peer closed the connection.
+    Stream_.socket().async_wait(Tcp::socket::wait_read, CloseIfIdle);
+    // The wait on the raw socket is not bound by the stream's own timeout.
+    IdleTimer_.expires_after(IdleTimeout);
+    IdleTimer_.async_wait(CloseIfIdle);
     IdleUntil_ = std::chrono::steady_clock::now() + IdleTimeout;
   }
 
@@ -80,6 +92,8 @@
 
   void close() {
     Open_ = false;
+    ++IdleTurn_;
+    IdleTimer_.cancel();
     boost::system::error_code Ignored;
     Stream_.socket().close(Ignored);
   }
@@ -87,6 +101,7 @@
 private:
   void write() {
     ++IdleTurn_;
+    IdleTimer_.cancel();
     Stream_.expires_at(Request_->Deadline_);
     http::async_write(
         Stream_, Request_->Message_,
@@ -101,7 +116,7 @@
 
   void read() {
     Parser_.emplace();
-    Parser_->body_limit(MaxResponseBytes);
+    Parser_->body_limit(MaxResponseBytes_);
     http::async_read(Stream_, Buffer_, *Parser_,
                      [Self = shared_from_this()](auto Error, std::size_t) {
                        if (Error)
@@ -112,7 +127,8 @@
   }
 
   void finishWithResponse() {
-    const bool Reusable = Parser_->get().keep_alive();
+    // Bytes behind the response would be taken for the next one.
+    const bool Reusable = Parser_->get().keep_alive() && Buffer_.size() == 0;
     auto Message = Parser_->release();
     HttpResult Result;
     Result.Response_.Status_ = static_cast<int>(Message.result_int());
@@ -144,10 +160,11 @@
     Done(std::move(Result));
   }
 
-  static constexpr std::uint64_t MaxResponseBytes = 64ULL * 1024 * 1024;
-
   beast::tcp_stream Stream_;
+  asio::steady_timer IdleTimer_;
+  std::uint64_t MaxResponseBytes_;
   Released OnRelease_;
+  IdleClosed OnIdleClosed_;
   beast::flat_buffer Buffer_;
   std::optional<PendingRequest> Request_;
   std::optional<http::response_parser<http::string_body>> Parser_;
@@ -171,8 +188,37 @@
 
   void submit(const Endpoint &Peer, detail::PendingRequest Request) {
     detail::PeerPool &Pool = Pools_[Peer];
+    const auto Deadline = Request.Deadline_;
     Pool.Waiting_.push_back(std::move(Request));
     startWaiting(Peer, Pool);
+    if (!Pool.Waiting_.empty())
+      expireAt(Peer, Deadline);
+  }
+
+  /// Ends requests that still wait for a connection at their deadline.
+  void expireAt(const Endpoint &Peer,
+                std::chrono::steady_clock::time_point Deadline) {
+    auto Timer = std::make_shared<asio::steady_timer>(Context_, Deadline);
+    Timer->async_wait([Timer, Peer, Weak = weak_from_this()](auto) {
+      const auto Self = Weak.lock();
+      if (!Self)
+        return;
+      const auto Found = Self->Pools_.find(Peer);
+      if (Found != Self->Pools_.end())
+        Self->expireWaiting(Found->second);
+    });
+  }
+
+  void expireWaiting(detail::PeerPool &Pool) {
+    const auto Now = std::chrono::steady_clock::now();
+    std::deque<detail::PendingRequest> Kept;
+    for (detail::PendingRequest &Each : Pool.Waiting_) {
+      if (Each.Deadline_ <= Now)
+        expire(std::move(Each));
+      else
+        Kept.push_back(std::move(Each));
+    }
+    Pool.Waiting_ = std::move(Kept);
   }
 
   void startWaiting(const Endpoint &Peer, detail::PeerPool &Pool) {
@@ -198,16 +244,38 @@
       Connection->close();
     }
     auto Connection = std::make_shared<detail::ClientConnection>(
-        Context_, [Weak = weak_from_this(), Peer](auto Self, bool Reusable) {
+        Context_, Limits_.ResponseBytes_,
+        [Weak = weak_from_this(), Peer](auto Self, bool Reusable) {
           if (auto Owner = Weak.lock())
             Owner->release(Peer, std::move(Self), Reusable);
+        },
+        [Weak = weak_from_this(), Peer](const auto *Self) {
+          if (auto Owner = Weak.lock())
+            Owner->dropIdle(Peer, Self);
         });
     boost::system::error_code Error;
     const auto Address = asio::ip::make_address(Peer.Host_, Error);
-    Connection->connectAndRun({Address, Peer.Port_}, Limits_.ConnectTimeout_,
+    // A peer without a valid address is refused, not replaced by 0.0.0.0.
+    const std::uint16_t Port = Error ? 0 : Peer.Port_;
+    Connection->connectAndRun({Address, Port}, Limits_.ConnectTimeout_,
                               std::move(Request));
   }
 
+  void dropIdle(const Endpoint &Peer,
+                const detail::ClientConnection *Connection) {
+    const auto Found = Pools_.find(Peer);
+    if (Found == Pools_.end())
+      return;
+    auto &Idle = Found->second.Idle_;
+    std::erase_if(Idle, [Connection](const auto &Each) {
+      return Each.get() == Connection;
+    });
+    // Peers come and go; a pool without use must not stay for each of them.
+    if (Idle.empty() && Found->second.Busy_ == 0 &&
+        Found->second.Waiting_.empty())
+      Pools_.erase(Found);
+  }
+
   void release(const Endpoint &Peer,
                std::shared_ptr<detail::ClientConnection> Connection,
                bool Reusable) {
@@ -265,4 +333,9 @@
   Found->second.Idle_.clear();
 }
 
+std::size_t HttpClient::idleCount(const Endpoint &Peer) const {
+  const auto Found = State_->Pools_.find(Peer);
+  return Found == State_->Pools_.end() ? 0 : Found->second.Idle_.size();
+}
+
 } // namespace wigeonwall::connection
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -13,19 +13,27 @@
 namespace http = beast::http;
 using Tcp = asio::ip::tcp;
 
+namespace {
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
+} // namespace
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
   State(asio::io_context &Context, Endpoint Address, HttpLimits Limits,
         HttpHandler Handler)
       : Context_(Context), Address_(std::move(Address)), Limits_(Limits),
-        Handler_(std::move(Handler)), Acceptor_(Context) {}
+        Handler_(std::move(Handler)), Acceptor_(Context),
+        AcceptDelay_(Context) {}
 
   void accept();
+  void serve(Tcp::socket Socket);
+  void acceptWaiting();
 
   asio::io_context &Context_;
   Endpoint Address_;
   HttpLimits Limits_;
   HttpHandler Handler_;
   Tcp::acceptor Acceptor_;
+  asio::steady_timer AcceptDelay_;
   std::uint16_t Port_ = 0;
   std::size_t Connections_ = 0;
   bool Stopping_ = false;
@@ -67,6 +75,8 @@
 
 private:
   static constexpr std::size_t ReadChunkBytes = 4096;
+  /// Time for a peer to read its last response and to close.
+  static constexpr std::chrono::milliseconds MaxLinger{1'000};
 
   void readRequest() {
     Stream_.expires_after(Server_->Limits_.ReadTimeout_);
@@ -108,6 +118,8 @@
       Request.Headers_.emplace_back(std::move(Name),
                                     std::string(Field.value()));
     }
+    if (!Server_->Handler_)
+      return close();
     // The response may take as long as the job runs.
     Stream_.expires_never();
     Server_->Handler_(std::move(Request),
@@ -144,9 +156,25 @@
         });
   }
 
+  /// Ends sending and reads until the peer closes. Closing a socket with
+  /// unread input resets the connection, and the peer may lose the response.
   void close() {
-    beast::error_code Ignored;
-    Stream_.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
+    beast::error_code Error;
+    Stream_.socket().shutdown(Tcp::socket::shutdown_send, Error);
+    if (Error)
+      return;
+    Stream_.expires_after(std::min(Server_->Limits_.ReadTimeout_, MaxLinger));
+    discard();
+  }
+
+  void discard() {
+    Buffer_.clear();
+    Stream_.async_read_some(
+        Buffer_.prepare(ReadChunkBytes),
+        [Self = this->shared_from_this()](auto Error, std::size_t) {
+          if (!Error)
+            Self->discard();
+        });
   }
 
   beast::tcp_stream Stream_;
@@ -163,25 +191,58 @@
 void HttpServer::State::accept() {
   Acceptor_.async_accept(
       [Self = shared_from_this()](auto Error, Tcp::socket Socket) {
+        // A connection accepted just before the stop is still served.
+        if (!Error)
+          Self->serve(std::move(Socket));
         if (Error == asio::error::operation_aborted || Self->Stopping_)
           return;
-        const bool Full = Self->Connections_ >= Self->Limits_.Connections_;
-        if (!Error && !Full) {
-          boost::system::error_code Ignored;
-          Socket.set_option(Tcp::no_delay(true), Ignored);
-          std::make_shared<detail::HttpSession<State>>(std::move(Socket), Self)
-              ->awaitRequest();
-        }
-        Self->accept();
+        if (!Error)
+          return Self->accept();
+        // Without file descriptors each accept fails at once.
+        Self->AcceptDelay_.expires_after(AcceptRetryDelay);
+        Self->AcceptDelay_.async_wait([Self](auto Cancelled) {
+          if (!Cancelled)
+            Self->accept();
+        });
       });
 }
 
+void HttpServer::State::serve(Tcp::socket Socket) {
+  if (Connections_ >= Limits_.Connections_)
+    return;
+  boost::system::error_code Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  std::make_shared<detail::HttpSession<State>>(std::move(Socket),
+                                               shared_from_this())
+      ->awaitRequest();
+}
+
+/// Takes connections that the kernel has accepted already; closing the
+/// acceptor would reset them together with their requests.
+void HttpServer::State::acceptWaiting() {
+  boost::system::error_code Error;
+  Acceptor_.non_blocking(true, Error);
+  while (!Error) {
+    Tcp::socket Socket(Context_);
+    Acceptor_.accept(Socket, Error);
+    if (!Error)
+      serve(std::move(Socket));
+  }
+}
+
 HttpServer::HttpServer(asio::io_context &Context, Endpoint Address,
                        HttpLimits Limits, HttpHandler Handler)
     : State_(std::make_shared<State>(Context, std::move(Address), Limits,
                                      std::move(Handler))) {}
 
-HttpServer::~HttpServer() { stopAccepting(); }
+HttpServer::~HttpServer() {
+  State_->Stopping_ = true;
+  State_->AcceptDelay_.cancel();
+  boost::system::error_code Ignored;
+  State_->Acceptor_.close(Ignored);
+  // Open sessions outlive this object, but not what the handler refers to.
+  State_->Handler_ = nullptr;
+}
 
 bool HttpServer::listen() {
   boost::system::error_code Error;
@@ -213,7 +274,12 @@
 void HttpServer::beginClosing() { State_->Closing_ = true; }
 
 void HttpServer::stopAccepting() {
+  if (State_->Stopping_)
+    return;
   State_->Stopping_ = true;
+  State_->AcceptDelay_.cancel();
+  if (State_->Acceptor_.is_open())
+    State_->acceptWaiting();
   boost::system::error_code Ignored;
   State_->Acceptor_.close(Ignored);
 }
