Answer jobs that can never run as failed

Cause: the home answered an unknown service, kind or team, a closed limit and too many tasks as `not_run`, which invites the caller to submit the job again.

Change: Home::checkAgainstConfig() gives `failed` with the same reasons. Admission may still refuse with one of these reasons as `not_run` when the configuration changes between the two checks.

--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -210,21 +210,21 @@
   const auto View = Context_.View_();
   const auto *Service = View->Config_->findService(Spec.Key_.Service_);
   if (Service == nullptr)
-    return negative(Outcome::NotRun, Reason::UnknownService,
+    return negative(Outcome::Failed, Reason::UnknownService,
                     "no service " + Spec.Key_.Service_);
   const auto *Kind = Service->findKind(Spec.Kind_);
   if (Kind == nullptr)
-    return negative(Outcome::NotRun, Reason::UnknownKind,
+    return negative(Outcome::Failed, Reason::UnknownKind,
                     "no kind " + Spec.Kind_);
   const auto *Team = View->Config_->findTeam(Spec.Team_);
   if (Team == nullptr)
-    return negative(Outcome::NotRun, Reason::UnknownTeam,
+    return negative(Outcome::Failed, Reason::UnknownTeam,
                     "no team " + Spec.Team_);
   if (Kind->QueueLimit_ == 0 || Team->MaxTasksInFlight_ == 0)
-    return negative(Outcome::NotRun, Reason::LimitIsZero,
+    return negative(Outcome::Failed, Reason::LimitIsZero,
                     "the kind or the team is closed");
   if (Spec.Tasks_.size() > Kind->MaxTasksPerJob_)
-    return negative(Outcome::NotRun, Reason::TooManyTasks,
+    return negative(Outcome::Failed, Reason::TooManyTasks,
                     "the kind allows " + std::to_string(Kind->MaxTasksPerJob_) +
                         " tasks");
   return std::nullopt;
--- a/tests/unit/job_path_test.cpp
+++ b/tests/unit/job_path_test.cpp
@@ -217,3 +217,22 @@
   for (const auto &Each : Cluster.answers())
     BOOST_TEST((Each.Answer_.Outcome_ == Outcome::Complete));
 }
+
+BOOST_AUTO_TEST_CASE(job_that_can_never_run_fails_at_once) {
+  JobCluster Cluster({});
+  auto Kind = Cluster.job("kind", 1, 10);
+  Kind.Kind_ = "nothing";
+  auto Team = Cluster.job("team", 1, 10);
+  Team.Team_ = "nobody";
+  const std::pair<request::JobSpec, Reason> Cases[] = {
+      {Kind, Reason::UnknownKind}, {Team, Reason::UnknownTeam}};
+  for (const auto &[Spec, Why] : Cases) {
+    Cluster.submit("e0", Spec);
+    Cluster.time().advance(milliseconds(100));
+    BOOST_REQUIRE(!Cluster.answers().empty());
+    // "not_run" would invite the caller to submit it again.
+    BOOST_TEST((Cluster.answers().back().Answer_.Outcome_ == Outcome::Failed));
+    BOOST_TEST((Cluster.answers().back().Answer_.Reason_ == Why));
+  }
+  checkPromises(Cluster);
+}
