--- a/packages/connection/include/wigeonwall/connection/rpc.h
+++ b/packages/connection/include/wigeonwall/connection/rpc.h
@@ -52,6 +52,7 @@
 
 /// \brief Result of a call.
 struct RpcResult {
+  /// Ambiguous also for a response that is neither a result nor an error.
   TransportError Error_ = TransportError::None;
   /// Set when the peer answered with a JSON-RPC error.
   bool Refused_ = false;
--- a/packages/connection/src/rpc.cpp
+++ b/packages/connection/src/rpc.cpp
@@ -16,6 +16,17 @@
 
 constexpr const char *RpcTarget = "/rpc";
 constexpr int RpcBadParameters = -32602;
+constexpr int RpcInternalError = -32603;
+constexpr int RpcSyntaxError = -32700;
+
+std::string describeSyntaxError(const std::string &Message) {
+  Json::Value Reply;
+  Reply["jsonrpc"] = "2.0";
+  Reply["id"] = Json::Value();
+  Reply["error"]["code"] = RpcSyntaxError;
+  Reply["error"]["message"] = Message;
+  return request::writeJson(Reply);
+}
 
 } // namespace
 
@@ -36,6 +47,8 @@
       throw jsonrpc::JsonRpcException(RpcBadParameters, Fault.Message_);
     } catch (const Json::Exception &Error) {
       throw jsonrpc::JsonRpcException(RpcBadParameters, Error.what());
+    } catch (const std::exception &Error) {
+      throw jsonrpc::JsonRpcException(RpcInternalError, Error.what());
     }
   }
 
@@ -49,7 +62,12 @@
       return Respond(std::move(Response));
     }
     RequestBytes_ = Request.Body_.size();
-    Handler_->HandleRequest(Request.Body_, Response.Body_);
+    try {
+      Handler_->HandleRequest(Request.Body_, Response.Body_);
+    } catch (const std::exception &Error) {
+      // JsonCpp throws through libjsonrpccpp for text nested too deeply.
+      Response.Body_ = describeSyntaxError(Error.what());
+    }
     Respond(std::move(Response));
   }
 
@@ -94,22 +112,40 @@
 
 namespace {
 
-RpcResult decodeResponse(HttpResult Result) {
+/// Text of the JSON-RPC error, if the response has one.
+std::optional<std::string> readError(const Json::Value &Value) {
+  if (!Value.isObject() || !Value.isMember("error"))
+    return std::nullopt;
+  const Json::Value &Error = Value["error"];
+  if (Error.isObject() && Error["message"].isString())
+    return Error["message"].asString();
+  return "error without a message";
+}
+
+RpcResult decodeResponse(HttpResult Result, std::uint64_t Id) {
   RpcResult Answer;
   Answer.Error_ = Result.Error_;
   Answer.Detail_ = std::move(Result.Detail_);
   if (Answer.Error_ != TransportError::None)
     return Answer;
   request::CodecFault Why;
-  auto Value = request::parseJson(Result.Response_.Body_, Why);
-  if (!Value || !Value->isObject() || !Value->isMember("result")) {
+  auto Value =
+      request::parseJson(Result.Response_.Body_, Why).value_or(Json::Value());
+  if (auto Error = readError(Value)) {
     Answer.Refused_ = true;
-    Answer.Detail_ = Value && Value->isObject()
-                         ? (*Value)["error"].get("message", "").asString()
-                         : Why.Message_;
+    Answer.Detail_ = std::move(*Error);
+    return Answer;
+  }
+  // The peer has received the call and may have acted on it.
+  if (!Value.isObject() || !Value.isMember("result") ||
+      !Value["id"].isUInt64() || Value["id"].asUInt64() != Id) {
+    Answer.Error_ = TransportError::Ambiguous;
+    Answer.Detail_ = Why.Message_.empty() ? "response without result or with "
+                                            "another id"
+                                          : Why.Message_;
     return Answer;
   }
-  Answer.Value_ = std::move((*Value)["result"]);
+  Answer.Value_ = std::move(Value["result"]);
   return Answer;
 }
 
@@ -120,15 +156,16 @@
                      RpcCallback Done) {
   Json::Value Envelope;
   Envelope["jsonrpc"] = "2.0";
-  Envelope["id"] = Json::UInt64(NextId_++);
+  const std::uint64_t Id = NextId_++;
+  Envelope["id"] = Json::UInt64(Id);
   Envelope["method"] = Method;
   Envelope["params"] = std::move(Params);
   HttpRequest Request{"POST", RpcTarget, {}, request::writeJson(Envelope)};
   if (Observer_)
     Observer_(Method, Request.Body_.size(), true);
   Http_.send(Peer, std::move(Request), Timeout,
-             [Done = std::move(Done)](HttpResult Result) {
-               Done(decodeResponse(std::move(Result)));
+             [Done = std::move(Done), Id](HttpResult Result) {
+               Done(decodeResponse(std::move(Result), Id));
              });
 }
 
--- a/packages/process/src/peer_call.cpp
+++ b/packages/process/src/peer_call.cpp
@@ -35,10 +35,15 @@
         [this, Callbacks = std::move(Items.Callbacks_)](
             const connection::RpcResult &Result) {
           ItemReply Reply{Result.Error_, Result.Refused_, Result.Detail_, {}};
-          const Json::Value &Values = Result.Value_["items"];
+          const Json::Value Empty;
+          const Json::Value &Values =
+              Result.Value_.isObject() ? Result.Value_["items"] : Empty;
+          // The peer has received the items and may have acted on them.
           if (Result.ok() &&
-              (!Values.isArray() || Values.size() != Callbacks.size()))
-            Reply.Refused_ = true;
+              (!Values.isArray() || Values.size() != Callbacks.size())) {
+            Reply.Error_ = connection::TransportError::Ambiguous;
+            Reply.Detail_ = "reply with another number of items";
+          }
           if (Reply.ok() && OnReply_)
             OnReply_(Result.Value_);
           for (Json::ArrayIndex I = 0; I < Callbacks.size(); ++I) {
