Add a relay that delays traffic between processes

Measurements ran on loopback without the 1 to 1.5 ms between failure domains, so response times were better than a deployment can have.

Each process has a relay of its own that is killed with it, so that a dead process still refuses connections.

The control plane bound the announced address, which failed behind a relay. It binds ControlPlaneOptions::Listen_ now; control_plane_test covers it.

--- a/packages/process/include/wigeonwall/process/control_plane.h
+++ b/packages/process/include/wigeonwall/process/control_plane.h
@@ -36,8 +36,11 @@
 };
 
 struct ControlPlaneOptions {
-  /// ControlAddress_ is bound; a port of 0 is replaced by the one in use.
+  /// ControlAddress_ is what others use. Without Listen_ it is bound, and a
+  /// port of 0 is replaced by the one in use.
   Member Own_;
+  /// Bound instead of ControlAddress_ when others use another address.
+  std::optional<connection::Endpoint> Listen_;
   /// Control addresses of any processes, of this one, or of a balancer.
   std::vector<std::string> Seeds_;
   MembershipOptions Membership_;
--- a/packages/process/src/control_plane.cpp
+++ b/packages/process/src/control_plane.cpp
@@ -81,7 +81,9 @@
 }
 
 bool ControlPlane::State::listen() {
-  auto Address = connection::parseEndpoint(Options_.Own_.ControlAddress_);
+  auto Address = Options_.Listen_
+                     ? Options_.Listen_
+                     : connection::parseEndpoint(Options_.Own_.ControlAddress_);
   if (!Address)
     return false;
   Server_.emplace(Dependencies_.Context_, *Address, connection::HttpLimits{},
@@ -90,7 +92,8 @@
   if (!Server_->listen())
     return false;
   Address->Port_ = Server_->port();
-  Options_.Own_.ControlAddress_ = connection::formatEndpoint(*Address);
+  if (!Options_.Listen_)
+    Options_.Own_.ControlAddress_ = connection::formatEndpoint(*Address);
   connection::HttpClientLimits Limits;
   Limits.ConnectionsPerPeer_ = ConnectionsPerPeer;
   Client_.emplace(Dependencies_.Context_, Limits, Dependencies_.Observer_);
--- a/packages/process/src/process_host.cpp
+++ b/packages/process/src/process_host.cpp
@@ -108,6 +108,7 @@
   Result.Own_.Id_ = Options_.Id_;
   Result.Own_.Role_ = Options_.Role_;
   Result.Own_.Incarnation_ = Incarnation_;
+  Result.Listen_ = Options_.ControlListen_;
   Result.Own_.ControlAddress_ =
       connection::formatEndpoint(Options_.controlAddress());
   Result.Own_.TrafficAddress_ =
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -17,6 +17,8 @@
     "permit-desk": ["joburg-north", "joburg-south", "pretoria-east", "midrand"],
     "planting-dispatch": ["upper-reach", "mill-reach", "lower-reach"],
 }
+# One way between failure domains, in microseconds (docs/design.md, 1.1).
+DOMAIN_DELAY_US = {"permit-desk": 1000, "planting-dispatch": 1500}
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 40
 
@@ -43,10 +45,19 @@
 
 
 class Cluster:
-    """Entries, agents with their minions, and the key-value service."""
+    """Entries, agents with their minions, and the key-value service.
+
+    With delay_us a relay stands in front of the control and the traffic port
+    of each process and delays each direction. It delays all pairs, also those
+    in one failure domain, which is pessimistic: with four domains a quarter
+    of the messages would not be delayed. Each process has a relay of its own
+    that is killed with it, so that connections to a killed process are
+    refused as without the relay. Minions and the key-value service are
+    reached directly.
+    """
 
     def __init__(self, build, service, agents, entries, agent_keys=None,
-                 slots=8, connections=64, entry_threads=1):
+                 slots=8, connections=64, entry_threads=1, delay_us=0):
         self.build = build
         self.service = service
         self.slots = slots
@@ -56,13 +67,17 @@
         self.agent_keys = agent_keys or {}
         self.connections = connections
         self.entry_threads = entry_threads
+        self.delay_us = delay_us
         self.agents = [self._describe("agent", i, 4) for i in range(agents)]
         self.entries = [self._describe("entry", i, 4) for i in range(entries)]
 
     def _describe(self, role, number, ports):
         domains = DOMAINS[self.service]
-        addresses = [f"127.0.0.1:{port}" for port in free_ports(ports)]
+        addresses = [f"127.0.0.1:{port}" for port in free_ports(ports + 2)]
+        relayed = 4 if self.delay_us else 0
         return {
+            "control_announce": addresses[relayed],
+            "traffic_announce": addresses[relayed + 1],
             "id": f"{role}-{number}", "role": role,
             "domain": domains[number % len(domains)],
             "control": addresses[0], "traffic": addresses[1],
@@ -78,12 +93,14 @@
             command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
     def write_settings(self, node):
-        seeds = [each["control"] for each in self.entries]
+        seeds = [each["control_announce"] for each in self.entries]
         lines = [
             "[process]", f"id = {node['id']}", f"role = {node['role']}",
             f"failure_domain = {node['domain']}",
             f"control_listen = {node['control']}",
             f"traffic_listen = {node['traffic']}",
+            f"control_announce = {node['control_announce']}",
+            f"traffic_announce = {node['traffic_announce']}",
             f"admin_listen = {node['admin']}",
             f"seeds = {', '.join(seeds)}", f"store = {self.store}",
         ]
@@ -102,7 +119,16 @@
             file.write("\n".join(lines) + "\n")
         return path
 
+    def start_relay(self, node):
+        command = [f"{self.build}/tests/standin_relay"]
+        for port in ("control", "traffic"):
+            command.append(f"--map={node[port + '_announce']}={node[port]}"
+                           f"={self.delay_us}")
+        self.spawn("relay-" + node["id"], command)
+
     def start_node(self, node):
+        if self.delay_us:
+            self.start_relay(node)
         self.spawn(node["id"], [f"{self.build}/apps/wigeonwall/wigeonwall",
                                 f"--settings={self.write_settings(node)}"])
 
@@ -182,6 +208,8 @@
 
     def kill(self, name, number=signal.SIGKILL):
         self.processes[name].send_signal(number)
+        if number == signal.SIGKILL and "relay-" + name in self.processes:
+            self.processes["relay-" + name].send_signal(number)
 
     def stop(self):
         """Ends all processes; returns the exit codes of entries and agents."""
--- a/tests/integration/control_plane_test.cpp
+++ b/tests/integration/control_plane_test.cpp
@@ -6,6 +6,8 @@
 
 #include "wigeonwall/request/codec.h"
 
+#include "standins/delay_relay.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <iostream>
@@ -122,11 +124,13 @@
   };
 
   void add(const std::string &Id, const std::string &Domain,
-           Role What = Role::Agent) {
+           Role What = Role::Agent,
+           const std::optional<connection::Endpoint> &Listen = {},
+           const std::string &Control = "127.0.0.1:0") {
     ControlPlaneOptions Options;
-    Options.Own_ = {
-        Id,     What,         unixMs(), "127.0.0.1:0", "127.0.0.1:1",
-        Domain, "permit-desk"};
+    Options.Own_ = {Id,     What,         unixMs(), Control, "127.0.0.1:1",
+                    Domain, "permit-desk"};
+    Options.Listen_ = Listen;
     Options.WatchWait_ = 2s;
     Options.Seeds_ = {"127.0.0.1:" + std::to_string(Balancer_.port())};
     auto Added = std::make_unique<Process>();
@@ -211,6 +215,22 @@
 
 } // namespace
 
+/// A process behind a relay binds its listen address and is reached under the
+/// announced one; binding the announced one would fail.
+BOOST_FIXTURE_TEST_CASE(announced_address_is_not_bound, Fixture) {
+  const connection::Endpoint Listen{"127.0.0.1", 47'811};
+  standins::DelayRelay Relay(Context_, {"127.0.0.1", 0}, Listen, 1ms);
+  BOOST_REQUIRE(Relay.listen());
+  const std::string Announced = "127.0.0.1:" + std::to_string(Relay.port());
+  add("a1", "north", Role::Agent, Listen, Announced);
+  add("a2", "south");
+  runUntil(10s, [&] { return agree(2) && Processes_[0]->epoch() != 0; });
+  BOOST_TEST(agree(2));
+  const Member *Found = Processes_[1]->Publisher_.current()->findMember("a1");
+  BOOST_REQUIRE(Found != nullptr);
+  BOOST_TEST(Found->ControlAddress_ == Announced);
+}
+
 /// Processes that start together must agree on one map in few writes.
 BOOST_FIXTURE_TEST_CASE(map_converges, Fixture) {
   addFive();
