Add a closed loop and empty tasks to wigeonwallctl load

The cost of a dispatch and the starts per second could not be measured, because each profile has work and arrivals that do not depend on the answers.

--- a/apps/wigeonwallctl/load_run.cpp
+++ b/apps/wigeonwallctl/load_run.cpp
@@ -80,6 +80,8 @@
 }
 
 void LoadRun::submitDue() {
+  if (Options_.InFlight_ != 0)
+    return refill();
   while (Next_) {
     const auto Due = Start_ + Next_->Offset_ + Options_.ClientDelay_;
     const auto Now = steady_clock::now();
@@ -98,6 +100,21 @@
   }
 }
 
+void LoadRun::refill() {
+  while (Next_ && Progress_.InFlight_ < Options_.InFlight_) {
+    const std::chrono::nanoseconds Offset = steady_clock::now() - Start_;
+    if (Offset >= Options_.Duration_) {
+      Next_.reset();
+      return;
+    }
+    // The job reaches the entry now, so its client sent it one delay earlier.
+    Next_->Offset_ = std::max<std::chrono::nanoseconds>(
+        std::chrono::nanoseconds(0), Offset - Options_.ClientDelay_);
+    start(std::move(*Next_));
+    Next_ = Jobs_();
+  }
+}
+
 void LoadRun::start(PlannedJob Plan) {
   auto Job = std::make_shared<ActiveJob>(Context_);
   Job->Key_ = {Plan.Service_, Options_.IdPrefix_ + Plan.Id_};
@@ -160,6 +177,8 @@
   Job->ResubmitTimer_.cancel();
   --Progress_.InFlight_;
   OnEnd_(Job->Plan_, Job->End_);
+  if (Options_.InFlight_ != 0)
+    refill();
   // Idle connections and the tick would keep the context running.
   if (!Next_ && Progress_.InFlight_ == 0)
     Context_.stop();
--- a/apps/wigeonwallctl/load_run.h
+++ b/apps/wigeonwallctl/load_run.h
@@ -23,6 +23,10 @@
   /// One-way delay between client and entry that is added by the tool.
   std::chrono::milliseconds ClientDelay_{3};
   std::size_t ConnectionsPerEntry_ = 1000;
+  /// Jobs kept in flight whatever their planned times; 0 to follow the times.
+  std::size_t InFlight_ = 0;
+  /// Jobs in flight are replaced for this long; unused when InFlight_ is 0.
+  std::chrono::nanoseconds Duration_{0};
   /// Put before the id of each job; unique per run, because records outlive
   /// a run.
   std::string IdPrefix_;
@@ -52,7 +56,8 @@
   std::chrono::nanoseconds MaxLag_{0};
 };
 
-/// \brief Open-loop run: submissions follow the plan, not the answers.
+/// \brief Submissions follow the times of the plan, not the answers, unless
+/// LoadRunOptions::InFlight_ asks for a closed loop.
 class LoadRun {
 public:
   /// Jobs in order of time; empty at the end.
@@ -73,6 +78,7 @@
   using ActivePointer = std::shared_ptr<ActiveJob>;
 
   void submitDue();
+  void refill();
   void start(PlannedJob Plan);
   void scheduleResubmission(const ActivePointer &Job, std::size_t Entry);
   void send(const ActivePointer &Job, std::size_t Entry);
--- a/apps/wigeonwallctl/workload.cpp
+++ b/apps/wigeonwallctl/workload.cpp
@@ -26,6 +26,11 @@
 const Distribution ManyTasks{
     {0.60, 2, 6}, {0.35, 7, 20}, {0.045, 21, 60}, {0.005, 61, 170}};
 
+// Tasks without work, to measure the system's own cost.
+const Distribution NoRun{{1.0, 0, 0}};
+const Distribution OneTask{{1.0, 1, 1}};
+const Distribution MostTasks{{1.0, 170, 170}};
+
 const std::map<std::string, WorkloadProfile, std::less<>> &profiles() {
   static const std::map<std::string, WorkloadProfile, std::less<>> Table{
       {"permit-desk",
@@ -40,6 +45,12 @@
          {"stake-layout", "surveyors", 0.15, false, MediumRuns, ManyTasks},
          {"permit-confirmation", "water-crews", 0.35, true, ShortRuns,
           SingleTasks}}}},
+      {"empty-tasks",
+       {"permit-desk",
+        {{"setback-check", "installers", 1.0, false, NoRun, MostTasks}}}},
+      {"empty-task",
+       {"permit-desk",
+        {{"setback-check", "installers", 1.0, false, NoRun, OneTask}}}},
   };
   return Table;
 }
--- a/apps/wigeonwallctl/workload_options.cpp
+++ b/apps/wigeonwallctl/workload_options.cpp
@@ -28,6 +28,9 @@
   Reader.number("--load", 0.001, MaxLoad, Load);
   if (Reader.given("--load") && Out.Slots_ == 0)
     return Reader.fail("--load", "needs --slots, the slots of all agents");
+  if (Load > 0 && Out.Profile_->meanWorkMsPerJob() <= 0)
+    return Reader.fail("--load", "profile \"" + Out.ProfileName_ +
+                                     "\" has no work; use --rate");
   if (Load > 0)
     Out.Arrivals_.JobsPerSecond_ = Load * static_cast<double>(Out.Slots_) *
                                    MsPerSecond /
@@ -90,14 +93,18 @@
   if (Options.Slots_ == 0)
     return 0;
   const auto &Flooded = Options.Arrivals_.Flood_;
-  double WorkMsPerSecond = 0;
+  double Sum = 0;
   for (const KindProfile &Kind : Options.Profile_->Kinds_) {
     const bool Floods = WithFlood && Flooded && Flooded->Kind_ == Kind.Name_;
-    WorkMsPerSecond += Options.Arrivals_.JobsPerSecond_ * Kind.Share_ *
-                       meanOf(Kind.RunMs_) * meanOf(Kind.TasksPerJob_) *
-                       (Floods ? Flooded->Factor_ : 1.0);
+    Sum += offeredLoad(Options, Kind) * (Floods ? Flooded->Factor_ : 1.0);
   }
-  return WorkMsPerSecond / MsPerSecond / static_cast<double>(Options.Slots_);
+  return Sum;
+}
+
+double offeredLoad(const WorkloadOptions &Options, const KindProfile &Kind) {
+  return Options.Arrivals_.JobsPerSecond_ * Kind.Share_ * meanOf(Kind.RunMs_) *
+         meanOf(Kind.TasksPerJob_) / MsPerSecond /
+         static_cast<double>(Options.Slots_);
 }
 
 } // namespace wigeonwall::ctl
--- a/apps/wigeonwallctl/workload_options.h
+++ b/apps/wigeonwallctl/workload_options.h
@@ -25,6 +25,11 @@
 [[nodiscard]] double offeredLoad(const WorkloadOptions &Options,
                                  bool WithFlood);
 
+/// \brief Share of the slots that the arrivals of one kind take without a
+/// flood; the slots must be given.
+[[nodiscard]] double offeredLoad(const WorkloadOptions &Options,
+                                 const KindProfile &Kind);
+
 } // namespace wigeonwall::ctl
 
 #endif
--- a/tests/unit/ctl_load_test.cpp
+++ b/tests/unit/ctl_load_test.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -176,6 +177,26 @@
   BOOST_TEST(Overall["response_ratio"]["p50"].asDouble() < 1.5);
 }
 
+// Guards against a closed loop that drains or overfills, and against a profile
+// of empty jobs with the wrong number of tasks.
+BOOST_AUTO_TEST_CASE(closed_loop_keeps_the_jobs_in_flight) {
+  std::atomic<std::size_t> Tasks{0};
+  standins::FakeEntry Entry(
+      [&](const request::JobSpec &Spec, connection::HttpResponse &) {
+        Tasks += Spec.Tasks_.size();
+      });
+  const auto [Code, Figures] =
+      runLoadOn(Entry, {"--in-flight", "3", "--profile", "empty-tasks",
+                        "--client-delay-ms", "20"});
+  const Json::Value &Overall = Figures["overall"];
+  BOOST_TEST(Code == 0);
+  BOOST_TEST(Overall["complete"] == Overall["sent"]);
+  BOOST_TEST(Tasks.load() == 170 * Overall["sent"].asUInt());
+  BOOST_TEST(Overall["sent"].asUInt() > 3U);
+  // The client delay counts on both sides.
+  BOOST_TEST(Overall["latency_ms"]["p50"].asDouble() >= 39);
+}
+
 // Guards against a load run that reports broken answers as complete.
 BOOST_AUTO_TEST_CASE(load_detects_partial_and_refused_answers) {
   standins::FakeEntry Entry([](const request::JobSpec &Spec,
@@ -195,6 +216,10 @@
   BOOST_TEST(Overall["partial"].asUInt() > 0U);
   BOOST_TEST(Overall["not_run"]["queue_full"] ==
              Figures["kinds"]["label-lookup"]["sent"]);
+  double Offered = 0;
+  for (const Json::Value &Kind : Figures["kinds"])
+    Offered += Kind["offered_load"].asDouble();
+  BOOST_TEST(Offered == 2, boost::test_tools::tolerance(0.001));
   BOOST_TEST(Figures["flood"]["overall"]["sent"] == Overall["sent"]);
 }
 
@@ -206,6 +231,9 @@
       {"load", "--rate", "nan"},
       {"load", "--load", "0.7"},
       {"load", "--rate", "1", "--profile", "p"},
+      {"load", "--load", "1", "--slots", "8", "--profile", "empty-task"},
+      {"load", "--in-flight", "0"},
+      {"load", "--in-flight", "1", "--flood", "label-lookup:2"},
       {"load", "--rate", "1", "--flood", "label-lookup"},
       {"load", "--rate", "1", "--flood", "no-kind:2"},
       {"load", "--rate", "1", "--flood", "label-lookup:0"},
