--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -44,6 +44,7 @@
   }
 
 private:
+  [[nodiscard]] Json::Value refuseSubmission(request::Reason Why);
   [[nodiscard]] Json::Value accept(request::JobSpec Spec,
                                    const std::string &ReplyTo);
   [[nodiscard]] Json::Value describe(const request::JobRecord &Record) const;
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -98,6 +98,11 @@
 
 // Submission ----------------------------------------------------------------
 
+Json::Value Home::refuseSubmission(Reason Why) {
+  Context_.Counters_.counter("job_submits_refused_total").fetch_add(1);
+  return refused(Why);
+}
+
 Json::Value Home::submit(const Json::Value &Params) {
   request::CodecFault Why;
   auto Spec = request::decodeJobSpec(Params["job"], Why);
@@ -114,15 +119,15 @@
     return describe(*Record);
   }
   if (!Context_.View_()->ready())
-    return refused(Reason::NotReady);
+    return refuseSubmission(Reason::NotReady);
   const std::uint64_t Own = currentEpoch(*Context_.View_());
   if (Epoch < Own)
-    return refused(Reason::StaleEpoch);
+    return refuseSubmission(Reason::StaleEpoch);
   if (Epoch > Own || Leaving_ || Copies_.sealedBelow(Spec->Key_) > Own)
-    return refused(Reason::Retry);
+    return refuseSubmission(Reason::Retry);
   std::shared_ptr<const ClusterView> View;
   if (!sameHolder(currentPair(Spec->Key_, View).Home_, Context_.Self_))
-    return refused(Reason::Retry);
+    return refuseSubmission(Reason::Retry);
   return accept(std::move(*Spec), ReplyTo);
 }
 
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -224,6 +224,8 @@
 Json::Value MinionGateway::cancel(const Json::Value &Params) {
   return handleItems(Params, [this](const Json::Value &Item) {
     const auto Removed = Queue_.removeJob(readJobKey(Item));
+    if (Removed.empty())
+      Context_.Counters_.counter("task_cancels_empty_total").fetch_add(1);
     for (const request::QueuedTask &Task : Removed) {
       Gate_.refuse(Task.Job_, Task.Task_);
       Queued_.erase(Task.Ticket_);
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -241,14 +241,17 @@
     throw connection::RpcFault{"/items/result" + Why.Position_ + ": " +
                                Why.Message_};
   JobRecord *Record = Jobs_.find(Key);
+  const auto Ignore = [&] {
+    Context_.Counters_.counter("task_results_ignored_total").fetch_add(1);
+  };
   if (Record == nullptr || Record->State_ != JobState::Running ||
       Result->Index_ >= Record->Tasks_.size())
-    return;
+    return Ignore();
   TaskRecord &Task = Record->Tasks_[Result->Index_];
   if (Task.State_ != TaskState::Placed || Task.Agent_ != Agent ||
       Task.AgentIncarnation_ != Incarnation ||
       Task.Attempts_ != readUnsigned(Item, "attempt"))
-    return;
+    return Ignore();
   if (!Result->Started_)
     return onNotStarted(*Record, Result->Index_, Result->Reason_);
   if (Result->Reason_ != Reason::None)
