Skip inquiries to holders that moved on before the job

Cause: after each change of the map a home asked the holders of the earlier pair about every job, for the whole record retention of ten minutes.

Change: the reply to record.seal carries the holder's epoch. Once a holder was seen under the current epoch, jobs created later than that (plus the clock tolerance of 5 s) need no inquiry, because the holder refuses older epochs since then.

--- a/packages/process/include/wigeonwall/process/earlier_holders.h
+++ b/packages/process/include/wigeonwall/process/earlier_holders.h
@@ -5,11 +5,15 @@
 
 #include "wigeonwall/process/agent_context.h"
 
+#include <map>
+#include <string>
+
 namespace wigeonwall::process {
 
 /// \brief What the earlier holders of a job say.
 enum class Settlement : std::uint8_t {
-  /// Each earlier pair is sealed or had stopped before the job was created.
+  /// Each earlier pair is sealed, or had stopped or moved on to the current
+  /// epoch before the job was created.
   Unknown,
   /// A holder returned the final answer.
   Answered,
@@ -43,6 +47,18 @@
 private:
   struct Inquiry;
 
+  /// Earliest time, by the own clock, at which a holder was seen under an
+  /// epoch.
+  struct Sighting {
+    std::int64_t Incarnation_ = 0;
+    version::Epoch Epoch_ = 0;
+    std::int64_t SeenAtMs_ = 0;
+  };
+
+  void noteEpoch(const version::MapAgent &Holder, const Json::Value &Reply);
+  /// Whether \p Holder refused all earlier epochs before the job existed.
+  [[nodiscard]] bool movedOnBefore(const version::MapAgent *Holder,
+                                   std::int64_t CreatedAtMs) const;
   [[nodiscard]] bool isSelf(const version::MapAgent *Agent) const;
   [[nodiscard]] bool pairSettled(const version::HolderPair &Pair,
                                  std::int64_t CreatedAtMs) const;
@@ -58,6 +74,8 @@
   void finish(const std::shared_ptr<Inquiry> &State, SettlementResult Result);
 
   AgentContext Context_;
+  /// By agent id; the last incarnation of each.
+  std::map<std::string, Sighting> Sightings_;
 };
 
 /// \brief Interprets the reply to `record.seal`; nothing for `sealed`.
--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -44,6 +44,7 @@
   }
 
 private:
+  [[nodiscard]] Json::Value sealJob(const Json::Value &Params);
   [[nodiscard]] Json::Value refuseSubmission(request::Reason Why);
   [[nodiscard]] Json::Value accept(request::JobSpec Spec,
                                    const std::string &ReplyTo);
--- a/packages/process/src/earlier_holders.cpp
+++ b/packages/process/src/earlier_holders.cpp
@@ -49,12 +49,36 @@
          Agent->Incarnation_ == Context_.Self_.Incarnation_;
 }
 
+void EarlierHolders::noteEpoch(const MapAgent &Holder,
+                               const Json::Value &Reply) {
+  if (!Reply["epoch"].isUInt64())
+    return;
+  const version::Epoch Epoch = Reply["epoch"].asUInt64();
+  Sighting &Known = Sightings_[Holder.Id_];
+  if (Known.Incarnation_ == Holder.Incarnation_ && Known.Epoch_ >= Epoch)
+    return;
+  Known = {Holder.Incarnation_, Epoch, Context_.WallMs_()};
+}
+
+bool EarlierHolders::movedOnBefore(const MapAgent *Holder,
+                                   std::int64_t CreatedAtMs) const {
+  if (Holder == nullptr)
+    return false;
+  const auto Found = Sightings_.find(Holder->Id_);
+  return Found != Sightings_.end() &&
+         Found->second.Incarnation_ == Holder->Incarnation_ &&
+         Found->second.Epoch_ >= currentEpoch(*Context_.View_()) &&
+         CreatedAtMs > Found->second.SeenAtMs_ + ClockToleranceMs;
+}
+
 bool EarlierHolders::pairSettled(const HolderPair &Pair,
                                  std::int64_t CreatedAtMs) const {
   // This process has no record, which is as good as its own seal.
   return isSelf(Pair.Home_) || isSelf(Pair.Copy_) ||
          stoppedBefore(Pair.Home_, CreatedAtMs) ||
-         stoppedBefore(Pair.Copy_, CreatedAtMs);
+         stoppedBefore(Pair.Copy_, CreatedAtMs) ||
+         movedOnBefore(Pair.Home_, CreatedAtMs) ||
+         movedOnBefore(Pair.Copy_, CreatedAtMs);
 }
 
 std::vector<HolderPair>
@@ -108,8 +132,10 @@
       Holder.TrafficAddress_, "record.seal", std::move(Params), CallTimeout,
       [this, State, Pair, Holder,
        Attempt](const connection::RpcResult &Result) {
-        if (Result.ok())
+        if (Result.ok()) {
+          noteEpoch(Holder, Result.Value_);
           return onReply(State, Pair, Result.Value_);
+        }
         // A refused call came from another incarnation at the address.
         if (Result.Refused_ || Attempt >= MaxAttempts)
           return onHolderFailed(State, Pair);
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -441,6 +441,13 @@
 }
 
 Json::Value Home::seal(const Json::Value &Params) {
+  Json::Value Reply = sealJob(Params);
+  // From now on this process refuses older epochs for any job.
+  Reply["epoch"] = Json::UInt64(currentEpoch(*Context_.View_()));
+  return Reply;
+}
+
+Json::Value Home::sealJob(const Json::Value &Params) {
   const JobKey Key = readJobKey(Params);
   const std::uint64_t Epoch = readUnsigned(Params, "epoch");
   if (static_cast<std::int64_t>(readUnsigned(Params, "to_incarnation")) !=
--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -20,19 +21,29 @@
 # One way between failure domains, in microseconds (docs/design.md, 1.1).
 DOMAIN_DELAY_US = {"permit-desk": 1000, "planting-dispatch": 1500}
 START_TIMEOUT_S = 30
+PORT_RANGE = (10000, 32000)
+HANDED_OUT = set()
 STOP_TIMEOUT_S = 40
 
 
 def free_ports(count):
-    """Returns ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns ports that were free a moment ago.
+
+    They lie below the usual range of local ports of outgoing connections
+    (32768 and above), which would take one of them now and then before its
+    process has started.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randint(*PORT_RANGE)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in HANDED_OUT:
+            HANDED_OUT.add(port)
+            ports.append(port)
     return ports
 
 
--- a/tests/unit/job_path_test.cpp
+++ b/tests/unit/job_path_test.cpp
@@ -217,3 +217,28 @@
   for (const auto &Each : Cluster.answers())
     BOOST_TEST((Each.Answer_.Outcome_ == Outcome::Complete));
 }
+
+// Guards against one inquiry per job for the whole retention after a change of
+// the map: a holder that was seen under the new epoch need not be asked about
+// jobs created later.
+BOOST_AUTO_TEST_CASE(inquiries_end_soon_after_a_map_change) {
+  JobCluster Cluster({});
+  unsigned Seals = 0;
+  Cluster.network().setFaultHook(
+      [&](const std::string &, const std::string &, const std::string &Method) {
+        Seals += Method == "record.seal" ? 1 : 0;
+        return standins::CallFault{};
+      });
+  Cluster.restart("a1");
+  const auto SubmitMany = [&](const std::string &Prefix) {
+    for (int I = 0; I < 40; ++I)
+      Cluster.submit("e0", Cluster.job(Prefix + std::to_string(I), 1, 10));
+    Cluster.time().advance(seconds(10));
+  };
+  SubmitMany("early");
+  BOOST_TEST(Seals > 0U);
+  Seals = 0;
+  SubmitMany("late");
+  BOOST_TEST(Seals == 0U);
+  checkPromises(Cluster);
+}
