--- a/tests/standins/fake_network.cpp
+++ b/tests/standins/fake_network.cpp
@@ -1,5 +1,7 @@
 #include "standins/fake_network.h"
 
+#include "standins/resource_usage.h"
+
 namespace wigeonwall::standins {
 
 using connection::RpcResult;
@@ -36,17 +38,31 @@
   return [this, Address, Generation = Generations_[Address]](
              request::Duration Delay, std::function<void()> Task) {
     Time_.after(Delay, [this, Address, Generation, Task = std::move(Task)] {
-      runOn(Address, Generation, Task);
+      runOn(Address, Generation, [this, Task] { metered("timer", "", Task); });
     });
   };
 }
 
+void FakeNetwork::metered(const char *What, const std::string &Method,
+                          const std::function<void()> &Task) {
+  if (!Meter_)
+    return Task();
+  LastCalled_.clear();
+  const double Start = threadCpuSeconds();
+  Task();
+  const double Used = threadCpuSeconds() - Start;
+  if (!Method.empty())
+    return Meter_(std::string(What) + " " + Method, Used);
+  Meter_(LastCalled_.empty() ? What : "send " + LastCalled_, Used);
+}
+
 process::PeerCall FakeNetwork::caller(const std::string &From) {
   return [this, From, Generation = Generations_[From]](
              const std::string &To, const std::string &Method,
              Json::Value Params, std::chrono::milliseconds Timeout,
              connection::RpcCallback Done) {
     ++Calls_[Method];
+    LastCalled_ = Method;
     auto Call = std::make_shared<Exchange>();
     *Call = {From, Generation, To, Method, std::move(Params), std::move(Done),
              {},   false};
@@ -82,7 +98,10 @@
   runOn(Call->To_, Generations_[Call->To_], [this, Call] {
     RpcResult Result;
     try {
-      Result.Value_ = Nodes_.at(Call->To_).at(Call->Method_)(Call->Params_);
+      const connection::RpcHandler &Handler =
+          Nodes_.at(Call->To_).at(Call->Method_);
+      metered("handle", Call->Method_,
+              [&] { Result.Value_ = Handler(Call->Params_); });
     } catch (const connection::RpcFault &Fault) {
       Result.Refused_ = true;
       Result.Detail_ = Fault.Message_;
@@ -101,7 +120,9 @@
     return;
   Call->Ended_ = true;
   runOn(Call->From_, Call->FromGeneration_,
-        [Call, Result = std::move(Result)] { Call->Done_(Result); });
+        [this, Call, Result = std::move(Result)] {
+          metered("reply", Call->Method_, [&] { Call->Done_(Result); });
+        });
 }
 
 } // namespace wigeonwall::standins
--- a/tests/standins/fake_network.h
+++ b/tests/standins/fake_network.h
@@ -32,6 +32,11 @@
       std::function<CallFault(const std::string &From, const std::string &To,
                               const std::string &Method)>;
 
+  /// Takes the processor time of one piece of work: "handle METHOD" at the
+  /// receiver, "reply METHOD" at the caller, "send METHOD" for a timer that
+  /// sends a message, "timer" for any other.
+  using Meter = std::function<void(const std::string &What, double Seconds)>;
+
   explicit FakeNetwork(VirtualTime &Time, request::Duration Latency)
       : Time_(Time), Latency_(Latency) {}
 
@@ -42,6 +47,7 @@
   [[nodiscard]] process::Schedule schedule(const std::string &Address);
 
   void setFaultHook(FaultHook Hook) { Fault_ = std::move(Hook); }
+  void setMeter(Meter Hook) { Meter_ = std::move(Hook); }
   void kill(const std::string &Address) { Killed_.insert(Address); }
   /// \brief Ends the process at the address; a new one takes its place. Timers
   /// and callbacks of the old one never run.
@@ -63,6 +69,9 @@
   /// Runs \p Task on a process: later if it is frozen, never if it has ended.
   void runOn(const std::string &Address, unsigned Generation,
              const std::function<void()> &Task);
+  /// Runs \p Task and passes its processor time to the meter.
+  void metered(const char *What, const std::string &Method,
+               const std::function<void()> &Task);
   void arrive(const std::shared_ptr<Exchange> &Call);
   void reply(const std::shared_ptr<Exchange> &Call,
              connection::RpcResult Result);
@@ -70,6 +79,9 @@
   VirtualTime &Time_;
   request::Duration Latency_;
   FaultHook Fault_;
+  Meter Meter_;
+  /// Method of the last call since the start of a metered timer.
+  std::string LastCalled_;
   std::map<std::string, std::map<std::string, connection::RpcHandler>> Nodes_;
   std::set<std::string> Killed_;
   std::map<std::string, unsigned> Generations_;
