Write the hops of a job as spans and print them as a tree

Cause: nothing showed where a job spent its time between the entry, its home, the agents and the minions.

Change: with `trace_file` set, each process writes spans as JSON lines through a buffer of 8,192 spans; a full buffer drops and counts. The hops are entry.job, home.job, home.dispatch, agent.queue, agent.run and minion.call. The context travels in the field "trace" of job.submit and of each task of task.start, and as `traceparent` to the minion; a caller's `traceparent` is continued. Without `trace_file` each hook is one null check. The tracer implements the OpenTracing interface itself, because the identifiers of the library's mock tracer have 64 bits and its header has a form of its own, so it cannot continue a `traceparent`.

The cost with tracing on was not measured.

Conclusion: a job through the real entry, home and gateway gives the expected tree under the caller's context.

--- a/apps/wigeonwallctl/command.h
+++ b/apps/wigeonwallctl/command.h
@@ -57,6 +57,8 @@
 int runReplay(const Arguments &Args, Console Streams);
 extern const char ConfigUsage[];
 int runConfig(const Arguments &Args, Console Streams);
+extern const char TraceUsage[];
+int runTrace(const Arguments &Args, Console Streams);
 extern const char GenerateTraceUsage[];
 int runGenerateTrace(const Arguments &Args, Console Streams);
 
--- a/apps/wigeonwallctl/commands.cpp
+++ b/apps/wigeonwallctl/commands.cpp
@@ -44,6 +44,8 @@
       {"cancel", "cancels a job", CancelUsage, runCancel},
       {"config", "checks, compares and applies the configuration", ConfigUsage,
        runConfig},
+      {"trace", "prints the hops of a job from span files", TraceUsage,
+       runTrace},
       {"load", "sends a workload and measures the answers", LoadUsage, runLoad},
       {"replay", "replays a trace against its expected outcomes", ReplayUsage,
        runReplay},
--- a/packages/process/include/wigeonwall/process/agent_context.h
+++ b/packages/process/include/wigeonwall/process/agent_context.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/process/cluster_view.h"
 #include "wigeonwall/process/counters.h"
+#include "wigeonwall/process/fwd.h"
 #include "wigeonwall/process/peer_call.h"
 #include "wigeonwall/request/record_copies.h"
 
@@ -22,6 +23,8 @@
   PeerCall Call_;
   ViewSource View_;
   Counters &Counters_;
+  /// Null when tracing is off.
+  const Trace *Trace_ = nullptr;
 };
 
 /// \brief Time-out of a call between processes.
--- a/packages/process/include/wigeonwall/process/caller_api.h
+++ b/packages/process/include/wigeonwall/process/caller_api.h
@@ -30,7 +30,7 @@
   template <typename Callback>
   void submitJob(const Json::Value &Job,
                  std::optional<request::Duration> Longest,
-                 const Callback &Done);
+                 const std::string &TraceParent, const Callback &Done);
   void lookup(const request::JobKey &Key,
               const connection::HttpRequest &Request,
               const connection::HttpRespond &Respond);
--- a/packages/process/include/wigeonwall/process/entry.h
+++ b/packages/process/include/wigeonwall/process/entry.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_PROCESS_ENTRY_H
 
 #include "wigeonwall/process/agent_context.h"
+#include "wigeonwall/process/trace.h"
 #include "wigeonwall/request/types.h"
 
 #include <map>
@@ -48,10 +49,12 @@
   /// job's deadline, unless the result is a refusal.
   ///
   /// When \p Wait passes first, \p Done runs without an answer and is
-  /// released; the job goes on.
+  /// released; the job goes on. \p TraceParent is the caller's trace context,
+  /// in the form of the header `traceparent`.
   [[nodiscard]] EntryRefusal
   submit(request::JobSpec Spec, AnswerCallback Done,
-         std::optional<request::Duration> Wait = std::nullopt);
+         std::optional<request::Duration> Wait = std::nullopt,
+         std::string_view TraceParent = {});
 
   /// \brief Asks the home of a job without submitting it, and again until the
   /// job has ended or \p Wait has passed.
@@ -90,6 +93,8 @@
     /// Address of the home when another process named it.
     std::string MovedTo_;
     bool Asking_ = false;
+    /// From submission to answer; null when tracing is off.
+    SpanPtr Span_;
   };
 
   [[nodiscard]] Pending *find(const request::JobKey &Key, std::uint64_t Serial);
--- a/packages/process/include/wigeonwall/process/fwd.h
+++ b/packages/process/include/wigeonwall/process/fwd.h
@@ -7,6 +7,7 @@
 
 class ConfigWriter;
 class Counters;
+class Trace;
 struct Settings;
 
 } // namespace wigeonwall::process
--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -6,6 +6,7 @@
 #include "wigeonwall/process/agent_context.h"
 #include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/process/earlier_holders.h"
+#include "wigeonwall/process/job_traces.h"
 #include "wigeonwall/process/task_dispatcher.h"
 #include "wigeonwall/request/job_table.h"
 #include "wigeonwall/request/record_copies.h"
@@ -45,7 +46,8 @@
 
 private:
   [[nodiscard]] Json::Value accept(request::JobSpec Spec,
-                                   const std::string &ReplyTo);
+                                   const std::string &ReplyTo,
+                                   const Json::Value &TraceParent);
   [[nodiscard]] Json::Value describe(const request::JobRecord &Record) const;
   [[nodiscard]] std::optional<request::JobAnswer>
   checkAge(const request::JobSpec &Spec) const;
@@ -76,6 +78,7 @@
   request::RecordCopies Copies_;
   DispatchPolicy &Policy_;
   EarlierHolders Earlier_;
+  JobTraces Traces_;
   TaskDispatcher Dispatcher_;
   CallBatcher Prepares_;
   CallBatcher Finishes_;
--- a/packages/process/include/wigeonwall/process/minion_gateway.h
+++ b/packages/process/include/wigeonwall/process/minion_gateway.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/connection/http_client.h"
 #include "wigeonwall/process/dispatch_policy.h"
+#include "wigeonwall/process/job_traces.h"
 #include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/health.h"
 #include "wigeonwall/request/start_gate.h"
@@ -27,6 +28,7 @@
   bool NonIdempotent_ = false;
   Json::Value Payload_;
   request::TimePoint QueuedAt_;
+  TaskTrace Trace_;
 };
 
 /// \brief How a call of the minion ended.
--- a/packages/process/include/wigeonwall/process/role_context.h
+++ b/packages/process/include/wigeonwall/process/role_context.h
@@ -8,11 +8,12 @@
 
 namespace wigeonwall::process {
 
-/// \brief Context of a role whose parts run on the loop of \p Traffic.
+/// \brief Context of a role whose parts run on the loop of \p Traffic;
+/// \p Spans is null when tracing is off.
 [[nodiscard]] AgentContext
 makeRoleContext(connection::asio::io_context &Traffic, const Settings &Options,
                 std::int64_t Incarnation, ViewPublisher &Views,
-                Counters &ProcessCounters);
+                Counters &ProcessCounters, const Trace *Spans);
 
 /// \brief Bounds of a traffic port: batches carry up to 170 payloads and
 /// answers up to a megabyte each.
--- a/packages/process/include/wigeonwall/process/task_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/task_dispatcher.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/process/agent_context.h"
 #include "wigeonwall/process/dispatch_policy.h"
+#include "wigeonwall/process/job_traces.h"
 #include "wigeonwall/request/job_table.h"
 
 #include <string>
@@ -21,7 +22,7 @@
   using EndHook = std::function<void(request::JobRecord &, request::JobAnswer)>;
 
   TaskDispatcher(AgentContext Context, request::JobTable &Jobs,
-                 DispatchPolicy &Policy, EndHook End);
+                 DispatchPolicy &Policy, JobTraces &Traces, EndHook End);
 
   /// \brief Places all tasks of a job that has just become Running.
   void start(request::JobRecord &Record);
@@ -63,6 +64,7 @@
   AgentContext Context_;
   request::JobTable &Jobs_;
   DispatchPolicy &Policy_;
+  JobTraces &Traces_;
   EndHook End_;
   CallBatcher Starts_;
   CallBatcher Cancels_;
--- a/packages/process/src/agent_role.cpp
+++ b/packages/process/src/agent_role.cpp
@@ -21,9 +21,10 @@
 
 AgentRole::AgentRole(connection::asio::io_context &Traffic,
                      const Settings &Options, std::int64_t Incarnation,
-                     ViewPublisher &Views, Counters &ProcessCounters)
+                     ViewPublisher &Views, Counters &ProcessCounters,
+                     const Trace *Spans)
     : Context_(makeRoleContext(Traffic, Options, Incarnation, Views,
-                               ProcessCounters)),
+                               ProcessCounters, Spans)),
       Server_(Traffic, Options.TrafficListen_, trafficLimits(),
               makeMessageObserver(ProcessCounters)),
       Policy_(Options.Agent_, Context_.Now_,
--- a/packages/process/src/caller_api.cpp
+++ b/packages/process/src/caller_api.cpp
@@ -228,6 +228,7 @@
 template <typename Callback>
 void CallerApi::submitJob(const Json::Value &Job,
                           std::optional<request::Duration> Longest,
+                          const std::string &TraceParent,
                           const Callback &Done) {
   request::CodecFault Why;
   auto Spec = decode(Job, Why);
@@ -240,7 +241,7 @@
         Done(Answer ? describe(Key, *Answer)
                     : describe(Key, JobLookup::Running, {}));
       },
-      Longest);
+      Longest, TraceParent);
   if (Refused != EntryRefusal::None)
     Done(refuse(Key, Refused));
 }
@@ -254,6 +255,7 @@
   if (!Body)
     return send(Respond, malformed(Why.Message_, Why.Position_));
   submitJob(*Body, Longest,
+            connection::findHeader(Request.Headers_, TraceHeader),
             [Respond](const Reply &Answer) { send(Respond, Answer); });
 }
 
@@ -269,10 +271,12 @@
   auto State = std::make_shared<BatchState>();
   State->Missing_ = Jobs->size();
   State->Respond_ = Respond;
+  const std::string TraceParent =
+      connection::findHeader(Request.Headers_, TraceHeader);
   for (Json::ArrayIndex I = 0; I < Jobs->size(); ++I)
-    submitJob((*Jobs)[I], Longest, [State, I](const Reply &Answer) {
-      State->store(I, Answer.Body_);
-    });
+    submitJob(
+        (*Jobs)[I], Longest, TraceParent,
+        [State, I](const Reply &Answer) { State->store(I, Answer.Body_); });
 }
 
 void CallerApi::lookup(const JobKey &Key, const HttpRequest &Request,
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -65,7 +65,8 @@
 }
 
 EntryRefusal Entry::submit(JobSpec Spec, AnswerCallback Done,
-                           std::optional<request::Duration> Wait) {
+                           std::optional<request::Duration> Wait,
+                           std::string_view TraceParent) {
   if (!Context_.View_()->ready())
     return EntryRefusal::NotReady;
   const std::uint64_t Fingerprint = request::fingerprint(Spec);
@@ -82,6 +83,9 @@
   Job->Serial_ = NextSerial_++;
   Job->Deadline_ = Context_.Now_() + Spec.Timeout_ + AnswerGrace;
   Job->Spec_ = std::move(Spec);
+  if (Context_.Trace_ != nullptr)
+    Job->Span_ =
+        Context_.Trace_->start("entry.job", TraceParent, Job->Spec_.Key_);
   Pending &Stored = *Job;
   Pending_[Stored.Spec_.Key_] = std::move(Job);
   wait(Stored, std::move(Done), Wait);
@@ -136,6 +140,8 @@
   Params["epoch"] = Json::UInt64(View->Map_->Epoch_);
   Params["reply_to"] = ReplyTo_;
   Params["job"] = request::encodeJobSpec(Job.Spec_);
+  if (Job.Span_)
+    Params["trace"] = Context_.Trace_->contextOf(*Job.Span_);
   Job.Asking_ = true;
   Context_.Call_(Address, "job.submit", std::move(Params), CallTimeout,
                  [this, Key = Job.Spec_.Key_,
@@ -267,6 +273,9 @@
 
 void Entry::answer(Pending &Job, const JobAnswer &Answer) {
   const JobKey Key = Job.Spec_.Key_;
+  tagSpan(
+      Job.Span_.get(), "outcome",
+      std::string(request::findName(request::OutcomeNames, Answer.Outcome_)));
   const auto Waiting = std::move(Job.Waiting_);
   Pending_.erase(Key);
   for (const Waiter &Each : Waiting)
--- a/packages/process/src/entry_role.cpp
+++ b/packages/process/src/entry_role.cpp
@@ -33,9 +33,9 @@
 EntryRole::EntryRole(connection::asio::io_context &Traffic,
                      const Settings &Options, std::uint32_t Shard,
                      std::int64_t Incarnation, ViewPublisher &Views,
-                     Counters &ProcessCounters)
+                     Counters &ProcessCounters, const Trace *Spans)
     : Context_(makeRoleContext(Traffic, Options, Incarnation, Views,
-                               ProcessCounters)),
+                               ProcessCounters, Spans)),
       Announced_(Options.trafficAddress()), Shard_(Shard),
       Answers_(Traffic, answersAddress(Options, Shard), trafficLimits(),
                makeMessageObserver(ProcessCounters)),
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -68,7 +68,8 @@
 Home::Home(AgentContext Context, DispatchPolicy &Policy)
     : Context_(std::move(Context)), Jobs_(Context_.Now_),
       Copies_(Context_.Now_), Policy_(Policy), Earlier_(Context_),
-      Dispatcher_(Context_, Jobs_, Policy_,
+      Traces_(Context_.Trace_),
+      Dispatcher_(Context_, Jobs_, Policy_, Traces_,
                   [this](JobRecord &Record, JobAnswer Answer) {
                     end(Record, std::move(Answer));
                   }),
@@ -123,10 +124,11 @@
   std::shared_ptr<const ClusterView> View;
   if (!sameHolder(currentPair(Spec->Key_, View).Home_, Context_.Self_))
     return refused(Reason::Retry);
-  return accept(std::move(*Spec), ReplyTo);
+  return accept(std::move(*Spec), ReplyTo, Params["trace"]);
 }
 
-Json::Value Home::accept(JobSpec Spec, const std::string &ReplyTo) {
+Json::Value Home::accept(JobSpec Spec, const std::string &ReplyTo,
+                         const Json::Value &TraceParent) {
   // This process may hold the copy of a record whose home is gone.
   if (const request::RecordCopy *Copy = Copies_.find(Spec.Key_)) {
     if (Copy->Fingerprint_ != request::fingerprint(Spec))
@@ -135,6 +137,7 @@
   const std::uint64_t Fingerprint = request::fingerprint(Spec);
   JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
   Record.ReplyTo_.insert(ReplyTo);
+  Traces_.begin(Record.Spec_.Key_, TraceParent);
   Context_.Counters_.counter("jobs_accepted_total").fetch_add(1);
   // Settling may erase the record, so it waits until the reply is made.
   later(Record, request::Duration::zero(), &Home::settle);
@@ -324,6 +327,9 @@
                  std::string(
                      request::findName(request::ReasonNames, Answer.Reason_)))
         .fetch_add(1);
+  Traces_.end(Record.Spec_.Key_,
+              request::findName(request::OutcomeNames, Answer.Outcome_),
+              request::findName(request::ReasonNames, Answer.Reason_));
   Jobs_.finalize(Record, std::move(Answer), retention(*Context_.View_()));
   notify(Record, finalState(Record.Answer_));
   Record.ReplyTo_.clear();
@@ -366,6 +372,7 @@
   if (Record.Admitted_)
     Policy_.releaseRest(Record);
   const JobKey Key = Record.Spec_.Key_;
+  Traces_.end(Key, "moved");
   Jobs_.erase(Key);
 }
 
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -113,6 +113,7 @@
     Gate_.refuse(Task.Job_, Task.Task_);
     return refused(Why);
   }
+  Task.Trace_.queued(Context_.Trace_, Task.Job_, Task.Task_, Item["trace"]);
   Queued_.emplace(Ticket, std::move(Task));
   return queued();
 }
@@ -156,12 +157,13 @@
 void MinionGateway::run(std::uint64_t Ticket) {
   auto Node = Queued_.extract(Ticket);
   const request::TimePoint Now = Context_.Now_();
-  const GatewayTask &Task =
+  GatewayTask &Task =
       Running_.emplace(Ticket, std::move(Node.mapped())).first->second;
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Task.Deadline_ - Now);
   Policy_.recordQueueDelay(Task.Kind_, Now - Task.QueuedAt_);
   Starts_.fetch_add(1);
+  Task.Trace_.running(Task.Job_, Task.Task_);
   Call_(Task, std::max(Left, std::chrono::milliseconds(1)),
         [this, Ticket, Now, Health = Health_.begin()](MinionReply Reply) {
           finish(Ticket, Now, Health, std::move(Reply));
@@ -171,9 +173,11 @@
 void MinionGateway::finish(std::uint64_t Ticket, request::TimePoint StartedAt,
                            request::HealthTracker::Ticket HealthTicket,
                            MinionReply Reply) {
-  const auto Node = Running_.extract(Ticket);
-  const GatewayTask &Task = Node.mapped();
+  auto Node = Running_.extract(Ticket);
+  GatewayTask &Task = Node.mapped();
   Reply.Result_.Index_ = Task.Task_;
+  Task.Trace_.ended(
+      request::findName(request::ReasonNames, Reply.Result_.Reason_));
   if (!Reply.Result_.Started_)
     Gate_.refuse(Task.Job_, Task.Task_);
   Health_.record(HealthTicket, Reply.Outcome_);
@@ -187,8 +191,9 @@
 void MinionGateway::handBack(const std::vector<request::QueuedTask> &Tasks,
                              Reason Why) {
   for (const request::QueuedTask &Each : Tasks) {
-    const auto Node = Queued_.extract(Each.Ticket_);
-    const GatewayTask &Task = Node.mapped();
+    auto Node = Queued_.extract(Each.Ticket_);
+    GatewayTask &Task = Node.mapped();
+    Task.Trace_.ended(request::findName(request::ReasonNames, Why));
     Gate_.refuse(Task.Job_, Task.Task_);
     report(Task, notStarted(Task.Task_, Why));
   }
@@ -226,7 +231,10 @@
     const auto Removed = Queue_.removeJob(readJobKey(Item));
     for (const request::QueuedTask &Task : Removed) {
       Gate_.refuse(Task.Job_, Task.Task_);
-      Queued_.erase(Task.Ticket_);
+      Queued_.extract(Task.Ticket_)
+          .mapped()
+          .Trace_.ended(
+              request::findName(request::ReasonNames, Reason::Cancelled));
     }
     Json::Value Reply;
     Reply["removed"] = Json::UInt64(Removed.size());
@@ -315,6 +323,8 @@
          {"X-Task-Index", std::to_string(Task.Task_)},
          {"Content-Type", "application/json"}},
         request::writeJson(Body)};
+    if (!Task.Trace_.callContext().empty())
+      Request.Headers_.emplace_back(TraceHeader, Task.Trace_.callContext());
     Client->send(Minion, std::move(Request), Timeout,
                  [Done = std::move(Done)](const connection::HttpResult &Reply) {
                    Done(readMinionReply(Reply));
--- a/packages/process/src/process_host.cpp
+++ b/packages/process/src/process_host.cpp
@@ -8,6 +8,7 @@
 #include "wigeonwall/process/event_loop.h"
 #include "wigeonwall/process/log.h"
 #include "wigeonwall/process/role_context.h"
+#include "wigeonwall/process/trace.h"
 #include "wigeonwall/version/config_codec.h"
 
 #include <random>
@@ -53,6 +54,9 @@
   asio::io_context Control_{1};
   ViewPublisher Views_;
   Counters Counters_;
+  /// Both empty when tracing is off.
+  std::unique_ptr<SpanFile> SpanFile_;
+  std::unique_ptr<Trace> Trace_;
   std::unique_ptr<detail::RoleThreads> Role_;
   connection::ConsulStore Store_;
   ControlPlane Plane_;
@@ -66,11 +70,17 @@
 
 ProcessHost::Implementation::Implementation(Settings Options)
     : Options_(std::move(Options)), Incarnation_(systemClock()()),
-      Role_(detail::makeRoleThreads(Options_,
-                                    {Incarnation_, Views_, Counters_,
-                                     [this](std::function<void()> Task) {
-                                       asio::post(Control_, std::move(Task));
-                                     }})),
+      SpanFile_(
+          Options_.TraceFile_.empty()
+              ? nullptr
+              : std::make_unique<SpanFile>(Options_.TraceFile_, Counters_)),
+      Trace_(SpanFile_ ? std::make_unique<Trace>(*SpanFile_, Options_.Id_)
+                       : nullptr),
+      Role_(detail::makeRoleThreads(
+          Options_, {Incarnation_, Views_, Counters_, Trace_.get(),
+                     [this](std::function<void()> Task) {
+                       asio::post(Control_, std::move(Task));
+                     }})),
       Store_(Control_, Options_.Store_, {},
              [&Calls = Counters_.counter("store_calls_total")] {
                Calls.fetch_add(1);
@@ -130,6 +140,12 @@
 }
 
 ExitCode ProcessHost::Implementation::run() {
+  if (SpanFile_ && !SpanFile_->opened()) {
+    logEvent("process", "start_failed",
+             {{"cause", "cannot write trace_file " + Options_.TraceFile_}},
+             LogLevel::Error);
+    return ExitCode::Failed;
+  }
   if (!Role_->start() || !Admin_.listen() || !Plane_.start()) {
     logEvent("process", "start_failed",
              {{"cause", "a listen address is taken or invalid"}},
--- a/packages/process/src/role_context.cpp
+++ b/packages/process/src/role_context.cpp
@@ -18,7 +18,8 @@
 
 AgentContext makeRoleContext(connection::asio::io_context &Traffic,
                              const Settings &Options, std::int64_t Incarnation,
-                             ViewPublisher &Views, Counters &ProcessCounters) {
+                             ViewPublisher &Views, Counters &ProcessCounters,
+                             const Trace *Spans) {
   const auto Observer = makeMessageObserver(ProcessCounters);
   auto Client = std::make_shared<connection::RpcClient>(
       Traffic, connection::HttpClientLimits{}, Observer);
@@ -29,7 +30,8 @@
           makeSchedule(Traffic),
           makePeerCall(Traffic, std::move(Client)),
           [&Views] { return Views.current(); },
-          ProcessCounters};
+          ProcessCounters,
+          Spans};
 }
 
 connection::RpcObserver makeMessageObserver(Counters &ProcessCounters) {
--- a/packages/process/src/role_threads.cpp
+++ b/packages/process/src/role_threads.cpp
@@ -15,7 +15,8 @@
   AgentThreads(const Settings &Options, RoleDependencies Dependencies)
       : Dependencies_(std::move(Dependencies)),
         Role_(Loop_.context(), Options, Dependencies_.Incarnation_,
-              Dependencies_.Views_, Dependencies_.Counters_) {}
+              Dependencies_.Views_, Dependencies_.Counters_,
+              Dependencies_.Trace_) {}
 
   bool start() override {
     if (!Role_.listen())
@@ -51,7 +52,7 @@
       Loops_.push_back(std::make_unique<EventLoop>());
       Shards_.push_back(std::make_unique<EntryRole>(
           Loops_.back()->context(), Options, I, Dependencies_.Incarnation_,
-          Dependencies_.Views_, Dependencies_.Counters_));
+          Dependencies_.Views_, Dependencies_.Counters_, Dependencies_.Trace_));
     }
   }
 
--- a/packages/process/src/role_threads.h
+++ b/packages/process/src/role_threads.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/process/cluster_view.h"
 #include "wigeonwall/process/counters.h"
+#include "wigeonwall/process/fwd.h"
 #include "wigeonwall/process/settings.h"
 
 #include <functional>
@@ -34,6 +35,8 @@
   std::int64_t Incarnation_ = 0;
   ViewPublisher &Views_;
   Counters &Counters_;
+  /// Null when tracing is off.
+  const Trace *Trace_;
   /// Runs a function on the control thread.
   std::function<void(std::function<void()>)> PostToControl_;
 };
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -37,9 +37,10 @@
 } // namespace
 
 TaskDispatcher::TaskDispatcher(AgentContext Context, request::JobTable &Jobs,
-                               DispatchPolicy &Policy, EndHook End)
+                               DispatchPolicy &Policy, JobTraces &Traces,
+                               EndHook End)
     : Context_(std::move(Context)), Jobs_(Jobs), Policy_(Policy),
-      End_(std::move(End)),
+      Traces_(Traces), End_(std::move(End)),
       Starts_(
           Context_.Call_, Context_.After_, "task.start",
           [this] {
@@ -106,6 +107,7 @@
   Task.Agent_ = Agent->Id_;
   Task.AgentIncarnation_ = Agent->Incarnation_;
   Placements_.fetch_add(1);
+  Traces_.dispatched(Record.Spec_.Key_, Index, Task.Agent_, Task.Attempts_);
   send(Record, Index, *Agent);
 }
 
@@ -139,6 +141,7 @@
   if (Record.Spec_.NonIdempotent_)
     Item["non_idempotent"] = true;
   Item["payload"] = Spec.Payload_;
+  Traces_.inject(Record.Spec_.Key_, Index, Item);
   return Item;
 }
 
@@ -208,6 +211,8 @@
     Policy_.finish(Task.Agent_);
   else
     Policy_.withdraw(Task.Agent_);
+  Traces_.returned(Record.Spec_.Key_, Index,
+                   request::findName(request::ReasonNames, Why));
   Task.State_ = TaskState::Unplaced;
   Task.Ambiguous_ = false;
   // A stale epoch says nothing about the agent; it may be asked again.
@@ -251,6 +256,8 @@
     return;
   if (!Result->Started_)
     return onNotStarted(*Record, Result->Index_, Result->Reason_);
+  Traces_.returned(Key, Result->Index_,
+                   request::findName(request::ReasonNames, Result->Reason_));
   if (Result->Reason_ != Reason::None)
     return endFailed(*Record, Result->Index_, Result->Reason_,
                      request::writeJson(Result->Body_));
--- a/tests/standins/job_cluster.cpp
+++ b/tests/standins/job_cluster.cpp
@@ -72,6 +72,9 @@
 };
 
 JobCluster::JobCluster(Shape Size) : Shape_(Size), Network_(Time_, Latency) {
+  if (!Shape_.TraceFile_.empty())
+    SpanFile_ =
+        std::make_unique<process::SpanFile>(Shape_.TraceFile_, Counters_);
   process::ClusterView First;
   version::MapChange Joins;
   for (unsigned I = 0; I < Shape_.Agents_; ++I) {
@@ -123,7 +126,20 @@
           Network_.schedule(Id),
           Network_.caller(Id),
           [this, Id] { return Views_.at(Id); },
-          Counters_};
+          Counters_,
+          trace(Id)};
+}
+
+const process::Trace *JobCluster::trace(const std::string &Id) {
+  if (!SpanFile_)
+    return nullptr;
+  auto &Slot = Traces_[Id];
+  if (!Slot)
+    Slot = std::make_unique<process::Trace>(
+        *SpanFile_, Id, process::TraceClocks{Time_.clock(), [this] {
+                                               return wallMs() * 1'000;
+                                             }});
+  return Slot.get();
 }
 
 void JobCluster::addAgent(const std::string &Id) {
@@ -200,14 +216,16 @@
   return Spec;
 }
 
-void JobCluster::submit(const std::string &Entry, const JobSpec &Spec) {
+void JobCluster::submit(const std::string &Entry, const JobSpec &Spec,
+                        const std::string &TraceParent) {
   if (Network_.killed(Entry))
     return;
   const auto Refused = Entries_.at(Entry)->Jobs_.submit(
       Spec,
       [this, Key = Spec.Key_](const std::optional<request::JobAnswer> &Answer) {
         Answers_.push_back({Key, *Answer, Time_.now()});
-      });
+      },
+      std::nullopt, TraceParent);
   if (Refused == process::EntryRefusal::None)
     ++Submissions_;
 }
--- a/tests/standins/job_cluster.h
+++ b/tests/standins/job_cluster.h
@@ -9,6 +9,7 @@
 #include "wigeonwall/process/entry.h"
 #include "wigeonwall/process/home.h"
 #include "wigeonwall/process/minion_gateway.h"
+#include "wigeonwall/process/trace.h"
 
 #include <map>
 #include <memory>
@@ -36,6 +37,9 @@
     unsigned Domains_ = 3;
     unsigned Entries_ = 2;
     unsigned Slots_ = 8;
+    /// Spans of all processes, complete when the cluster is destroyed; no
+    /// tracing when empty.
+    std::string TraceFile_ = {};
   };
 
   explicit JobCluster(Shape Size);
@@ -51,7 +55,8 @@
   job(const std::string &Id, unsigned Tasks, unsigned WorkMs,
       std::chrono::milliseconds Timeout = std::chrono::seconds(30)) const;
   /// \brief Submits through an entry; answers go to answers().
-  void submit(const std::string &Entry, const request::JobSpec &Spec);
+  void submit(const std::string &Entry, const request::JobSpec &Spec,
+              const std::string &TraceParent = {});
   void cancel(const std::string &Entry, const request::JobKey &Key);
 
   [[nodiscard]] std::string homeOf(const request::JobSpec &Spec) const;
@@ -104,11 +109,14 @@
               const std::function<void(process::ClusterView &)> &Edit);
   [[nodiscard]] std::vector<std::string> everyone() const;
   [[nodiscard]] std::int64_t wallMs() const;
+  [[nodiscard]] const process::Trace *trace(const std::string &Id);
 
   Shape Shape_;
   VirtualTime Time_;
   FakeNetwork Network_;
   process::Counters Counters_;
+  std::unique_ptr<process::SpanFile> SpanFile_;
+  std::map<std::string, std::unique_ptr<process::Trace>> Traces_;
   version::AgentMap Map_;
   std::map<std::string, View> Views_;
   std::map<std::string, std::int64_t> Incarnations_;
