Refuse JSON text that is no Unicode

Cause: JsonCpp accepts invalid UTF-8 and half surrogate pairs and writes other characters in their place. A payload changed between caller and backend server, and names of an object could become equal, so that the home refused what the entry had accepted. job_fuzz and task_result_fuzz found it.

Change: parseJson() refuses such text with the byte offset. JSON text of callers, processes and backend servers passes through it; a task result of this kind is a malformed body.

The unit test holds 14 texts. The cost per byte was not measured.

Conclusion: what is accepted is passed on as it was sent.

--- a/packages/request/include/wigeonwall/request/codec.h
+++ b/packages/request/include/wigeonwall/request/codec.h
@@ -20,7 +20,8 @@
 
 using CodecFault = Fault<CodecError>;
 
-/// \brief Parses JSON text; the fault carries line and column.
+/// \brief Parses JSON text; the fault carries line and column, or the byte
+/// where a character is no Unicode.
 [[nodiscard]] std::optional<Json::Value> parseJson(std::string_view Text,
                                                    CodecFault &Why);
 
--- a/packages/request/src/codec.cpp
+++ b/packages/request/src/codec.cpp
@@ -1,6 +1,7 @@
 #include "wigeonwall/request/codec.h"
 
 #include "wigeonwall/request/field_reader.h"
+#include "wigeonwall/request/json_text.h"
 
 #include <memory>
 
@@ -64,6 +65,13 @@
     Result["stackLimit"] = MaxNestingDepth;
     return Result;
   }();
+  if (const auto Offset = findInvalidCharacter(Text)) {
+    Why = {CodecError::Syntax,
+           "invalid JSON: no Unicode character at byte " +
+               std::to_string(*Offset),
+           ""};
+    return std::nullopt;
+  }
   std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
   Json::Value Value;
   std::string Errors;
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -82,3 +82,36 @@
   CodecFault Why;
   BOOST_TEST(!parseJson(std::string(100'000, '['), Why).has_value());
 }
+
+// Found by job_fuzz and task_result_fuzz: JsonCpp replaces these characters
+// when it writes them, so a payload changed and names of an object collided.
+BOOST_AUTO_TEST_CASE(text_that_is_no_unicode_is_refused) {
+  const struct {
+    const char *Text_;
+    bool Valid_;
+  } Cases[] = {
+      {"\"\xC3\xA9 \xE2\x82\xAC \xF0\x9F\x8C\xB2\"", true},
+      {R"("\u00e9 \ud83c\udf32 \\ud800")", true},
+      {"\"\xB7\"", false},
+      {"\"\xC3\"", false},
+      {"\"\xC0\xAF\"", false},
+      {"\"\xE0\x80\x80\"", false},
+      {"\"\xED\xA0\x80\"", false},
+      {"\"\xF4\x90\x80\x80\"", false},
+      {"\"\xFF\"", false},
+      {"{\"a\xFF\": 1, \"a\xFE\": 2}", false},
+      {R"("\ud800")", false},
+      {R"("\udc00")", false},
+      {R"("\ud800\u0041")", false},
+      {R"("\ud800\ud800")", false},
+  };
+  for (const auto &Case : Cases)
+    BOOST_TEST_CONTEXT(Case.Text_) {
+      CodecFault Why;
+      const auto Value = parseJson(Case.Text_, Why);
+      BOOST_TEST(Value.has_value() == Case.Valid_);
+      BOOST_TEST(Why.Message_.empty() == Case.Valid_);
+      if (Value)
+        BOOST_TEST((parseJson(writeJson(*Value), Why) == Value));
+    }
+}
