Treat an unreadable reply to a start as ambiguous

Cause: a task.start reply without a known state counted as not started and the task was placed again, although the agent may have queued it; the same held for a refusal as duplicate, where another home may have started the task. Found by reading. Change: only `queued`, `refused` and `other_incarnation` are read; anything else is repeated to the same agent, and `duplicate` ends the job as outcome_unknown.

--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -34,6 +34,17 @@
          Agent.State_ == MemberState::Leaving;
 }
 
+/// Known state in the reply to a start message, or an empty string.
+std::string stateOf(const ItemReply &Reply) {
+  if (!Reply.ok() || !Reply.Value_.isObject() ||
+      !Reply.Value_["state"].isString())
+    return {};
+  const std::string State = Reply.Value_["state"].asString();
+  const bool Known =
+      State == "queued" || State == "refused" || State == "other_incarnation";
+  return Known ? State : std::string();
+}
+
 } // namespace
 
 TaskDispatcher::TaskDispatcher(AgentContext Context, request::JobTable &Jobs,
@@ -185,11 +196,12 @@
     return;
   if (Reply.Error_ == connection::TransportError::NotSent && !Task.Ambiguous_)
     return onNotStarted(*Record, Index, Reason::NoMinion, false);
-  if (!Reply.ok()) {
+  const std::string State = stateOf(Reply);
+  // A reply that is missing or cannot be read says nothing about a start.
+  if (State.empty()) {
     Task.Ambiguous_ = true;
     return resendLater(*Record, Index);
   }
-  const std::string State = Reply.Value_["state"].asString();
   if (State == "queued")
     return;
   if (State == "other_incarnation") {
@@ -201,6 +213,10 @@
   }
   const auto Why = request::findValue(request::ReasonNames,
                                       Reply.Value_["reason"].asString());
+  // The agent has the task from another home, which may have started it.
+  if (Why == Reason::Duplicate)
+    return endFailed(*Record, Index, Reason::OutcomeUnknown,
+                     "another home sent it");
   onNotStarted(*Record, Index, Why.value_or(Reason::NoMinion));
 }
 
--- a/tests/unit/job_path_test.cpp
+++ b/tests/unit/job_path_test.cpp
@@ -3,6 +3,8 @@
 /// and lost messages, on the real home, gateway and entry in virtual time.
 #include "standins/job_cluster.h"
 
+#include "wigeonwall/request/codec.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace wigeonwall;
@@ -226,6 +228,47 @@
   checkPromises(Cluster);
 }
 
+BOOST_AUTO_TEST_CASE(unreadable_reply_to_a_start_places_nothing_again) {
+  // Tasks whose agent gave no usable reply may have started; they must not be
+  // placed elsewhere. The same holds for tasks that another home sent before.
+  const std::pair<const char *, Reason> Cases[] = {
+      {R"({"state":"odd"})", Reason::DeadlineExceeded},
+      {R"([])", Reason::DeadlineExceeded},
+      {R"({"state":"refused","reason":"duplicate"})", Reason::OutcomeUnknown},
+  };
+  for (const auto &[Text, Expected] : Cases) {
+    BOOST_TEST_CONTEXT(Text) {
+      JobCluster Cluster({});
+      request::CodecFault Why;
+      const Json::Value Item = *request::parseJson(Text, Why);
+      for (const char *Agent : {"a0", "a1", "a2", "a3"})
+        Cluster.network().addMethod(
+            Agent, "task.start", [Item](const Json::Value &Params) {
+              Json::Value Reply;
+              for (Json::ArrayIndex I = 0; I < Params["items"].size(); ++I)
+                Reply["items"].append(Item);
+              return Reply;
+            });
+      unsigned Placements = 0;
+      Cluster.network().setFaultHook([&](const std::string &,
+                                         const std::string &To,
+                                         const std::string &Method) {
+        static std::string First;
+        if (Method == "task.start" && Placements++ == 0)
+          First = To;
+        if (Method == "task.start")
+          BOOST_TEST(To == First);
+        return standins::CallFault{};
+      });
+      Cluster.submit("e0", Cluster.job("j", 1, 10, seconds(5)));
+      Cluster.time().advance(seconds(10));
+      BOOST_REQUIRE(Cluster.answers().size() == 1U);
+      BOOST_TEST((Cluster.answers()[0].Answer_.Outcome_ == Outcome::Failed));
+      BOOST_TEST((Cluster.answers()[0].Answer_.Reason_ == Expected));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(lost_agent_ends_its_jobs_with_a_stated_failure) {
   JobCluster Cluster({});
   const auto Spec = Cluster.job("j", 40, 500);
