Return ejected minions to work after their back-off

Cause: a home unmarked an ejected agent only by a later load report, and an agent without tasks sends none, so a minion that was down for 3 s got no task again until its agent was restarted.

Change: the load report carries the rest of the back-off (ejected_for_ms), and homes forget the ejection then. An ejected agent refuses a task, as not started, from a home that does not know of the ejection (ejection_known in task.start): otherwise each home learned of a new ejection by a failed task.

--- a/packages/process/include/wigeonwall/process/dispatch_policy.h
+++ b/packages/process/include/wigeonwall/process/dispatch_policy.h
@@ -53,7 +53,19 @@
   expectedRun(const std::string &Kind,
               std::chrono::milliseconds Declared) const;
 
+  /// \brief Whether the last report of \p Agent said that its minion is
+  /// ejected, and that has not ended.
+  [[nodiscard]] bool knowsEjection(const std::string &Agent) const {
+    return Ejected_.contains(Agent);
+  }
+
 private:
+  struct Ejection {
+    double Severity_ = 0.0;
+    request::TimePoint Until_;
+  };
+
+  void forgetEndedEjections();
   void applyEjections();
 
   std::string Service_;
@@ -62,8 +74,8 @@
   request::RunTimeEstimator Estimator_;
   request::Placer Placer_;
   request::AdmissionController Admission_;
-  /// Reported severity of ejected minions by agent.
-  std::map<std::string, double> Ejected_;
+  /// Reported ejections by agent.
+  std::map<std::string, Ejection> Ejected_;
   std::size_t AgentCount_ = 0;
   std::uint64_t ConfigVersion_ = 0;
 };
--- a/packages/process/include/wigeonwall/process/minion_gateway.h
+++ b/packages/process/include/wigeonwall/process/minion_gateway.h
@@ -66,8 +66,8 @@
   [[nodiscard]] Json::Value admit(const Json::Value &Item,
                                   const request::HomeIdentity &Home,
                                   std::uint64_t Epoch);
-  [[nodiscard]] request::Reason enqueue(std::uint64_t Ticket,
-                                        const GatewayTask &Task);
+  [[nodiscard]] request::Reason
+  enqueue(std::uint64_t Ticket, const GatewayTask &Task, bool EjectionKnown);
   void startNext();
   void run(std::uint64_t Ticket);
   void finish(std::uint64_t Ticket, request::TimePoint StartedAt,
--- a/packages/process/src/dispatch_policy.cpp
+++ b/packages/process/src/dispatch_policy.cpp
@@ -76,9 +76,19 @@
 std::vector<std::string>
 DispatchPolicy::choose(std::size_t Count,
                        const std::set<std::string> &Excluded) {
+  forgetEndedEjections();
   return Placer_.choose(Count, Excluded);
 }
 
+/// The tasks that the agent gets then are its probes; it takes one at a time.
+void DispatchPolicy::forgetEndedEjections() {
+  const request::TimePoint Now = Now_();
+  if (std::erase_if(Ejected_, [&](const auto &Each) {
+        return Each.second.Until_ <= Now;
+      }) != 0)
+    applyEjections();
+}
+
 void DispatchPolicy::report(const std::string &Agent,
                             std::uint32_t Acknowledged,
                             const request::AgentLoad &Load) {
@@ -87,20 +97,19 @@
   else
     Placer_.report(Agent, Load);
   const auto Known = Ejected_.find(Agent);
-  const double Before = Known == Ejected_.end() ? 0.0 : Known->second;
-  if (Before == Load.EjectedSeverity_)
-    return;
+  const double Before = Known == Ejected_.end() ? 0.0 : Known->second.Severity_;
   if (Load.EjectedSeverity_ > 0)
-    Ejected_[Agent] = Load.EjectedSeverity_;
+    Ejected_[Agent] = {Load.EjectedSeverity_, Now_() + Load.EjectedFor_};
   else
     Ejected_.erase(Agent);
-  applyEjections();
+  if (Before != Load.EjectedSeverity_)
+    applyEjections();
 }
 
 void DispatchPolicy::applyEjections() {
   std::vector<request::EjectedMinion> Reports;
-  for (const auto &[Agent, Severity] : Ejected_)
-    Reports.push_back({Agent, Severity});
+  for (const auto &[Agent, Each] : Ejected_)
+    Reports.push_back({Agent, Each.Severity_});
   const auto Honoured =
       request::honouredEjections(std::move(Reports), AgentCount_);
   Placer_.setEjected({Honoured.begin(), Honoured.end()});
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -108,7 +108,10 @@
     break;
   }
   const std::uint64_t Ticket = NextTicket_++;
-  const Reason Why = Leaving_ ? Reason::Draining : enqueue(Ticket, Task);
+  const Reason Why =
+      Leaving_
+          ? Reason::Draining
+          : enqueue(Ticket, Task, Item.get("ejection_known", false).asBool());
   if (Why != Reason::None) {
     Gate_.refuse(Task.Job_, Task.Task_);
     return refused(Why);
@@ -124,6 +127,8 @@
     break;
   case request::HealthState::Ejected:
     Load.EjectedSeverity_ = Health_.severity();
+    Load.EjectedFor_ =
+        std::chrono::ceil<std::chrono::milliseconds>(Health_.ejectedFor());
     break;
   case request::HealthState::Probing:
     Load.Slots_ = 1;
@@ -132,7 +137,12 @@
   return Load;
 }
 
-Reason MinionGateway::enqueue(std::uint64_t Ticket, const GatewayTask &Task) {
+Reason MinionGateway::enqueue(std::uint64_t Ticket, const GatewayTask &Task,
+                              bool EjectionKnown) {
+  // The home learns of the ejection by the reply. One that knows of it sends
+  // tasks only when it has no other agent or does not honour the ejection.
+  if (!EjectionKnown && Health_.state() == request::HealthState::Ejected)
+    return Reason::QueueFull;
   // A minion on probation takes one task at a time; the others are placed
   // elsewhere at once.
   if (Health_.state() == request::HealthState::Probing &&
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -138,6 +138,8 @@
     Item["declared_run_ms"] = Json::Int64(Spec.DeclaredRun_.count());
   if (Record.Spec_.NonIdempotent_)
     Item["non_idempotent"] = true;
+  if (Policy_.knowsEjection(Task.Agent_))
+    Item["ejection_known"] = true;
   Item["payload"] = Spec.Payload_;
   return Item;
 }
--- a/packages/request/include/wigeonwall/request/health.h
+++ b/packages/request/include/wigeonwall/request/health.h
@@ -85,6 +85,9 @@
   /// \brief Notes the end of a task that says nothing about the minion.
   void abandon(Ticket Started);
 
+  /// \brief Rest of the back-off; zero unless ejected.
+  [[nodiscard]] Duration ejectedFor();
+
   /// \brief Orders minions from good to bad: the score of recent failures, plus
   /// one for each ejection in a row while not healthy.
   [[nodiscard]] double severity();
--- a/packages/request/include/wigeonwall/request/types.h
+++ b/packages/request/include/wigeonwall/request/types.h
@@ -162,6 +162,9 @@
   /// Above 0 while the minion is ejected, higher for worse ones; see
   /// HealthTracker::severity().
   double EjectedSeverity_ = 0.0;
+  /// Rest of the ejection. A home has to forget the ejection by itself then,
+  /// because an agent without tasks sends no further report.
+  std::chrono::milliseconds EjectedFor_{0};
 };
 
 } // namespace wigeonwall::request
--- a/packages/request/src/codec.cpp
+++ b/packages/request/src/codec.cpp
@@ -196,8 +196,10 @@
   Value["running"] = Load.Running_;
   Value["queued"] = Load.Queued_;
   Value["slots"] = Load.Slots_;
-  if (Load.EjectedSeverity_ > 0)
+  if (Load.EjectedSeverity_ > 0) {
     Value["ejected"] = Load.EjectedSeverity_;
+    Value["ejected_for_ms"] = Json::Int64(Load.EjectedFor_.count());
+  }
   return Value;
 }
 
@@ -210,13 +212,16 @@
   Reader.integer("queued", 0, UINT32_MAX, Queued);
   Reader.integer("slots", 0, UINT32_MAX, Slots);
   Json::Value Ejected;
+  std::int64_t EjectedForMs = 0;
   Reader.any("ejected", Ejected);
+  Reader.optionalInteger("ejected_for_ms", 0, UINT32_MAX, EjectedForMs);
   if (!Reader.finish())
     return std::nullopt;
   return AgentLoad{static_cast<std::uint32_t>(Running),
                    static_cast<std::uint32_t>(Queued),
                    static_cast<std::uint32_t>(Slots),
-                   Ejected.isNumeric() ? Ejected.asDouble() : 0.0};
+                   Ejected.isNumeric() ? Ejected.asDouble() : 0.0,
+                   std::chrono::milliseconds(EjectedForMs)};
 }
 
 } // namespace wigeonwall::request
--- a/packages/request/src/health.cpp
+++ b/packages/request/src/health.cpp
@@ -84,6 +84,11 @@
 
 void HealthTracker::abandon(Ticket Started) { endProbe(Started); }
 
+Duration HealthTracker::ejectedFor() {
+  return state() == HealthState::Ejected ? EjectedUntil_ - Now_()
+                                         : Duration::zero();
+}
+
 double HealthTracker::severity() {
   if (state() == HealthState::Healthy)
     return FailureScore_;
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -78,6 +78,18 @@
              fingerprint(*decodeJobSpec(Other, Why)));
 }
 
+BOOST_AUTO_TEST_CASE(load_survives_a_round_trip) {
+  CodecFault Why;
+  const AgentLoad Load{3, 40, 8, 1.75, std::chrono::milliseconds(2'000)};
+  const auto Again = decodeLoad(encodeLoad(Load), Why);
+  BOOST_REQUIRE(Again.has_value());
+  BOOST_TEST(Again->Running_ == 3U);
+  BOOST_TEST(Again->Queued_ == 40U);
+  BOOST_TEST(Again->Slots_ == 8U);
+  BOOST_TEST(Again->EjectedSeverity_ == 1.75);
+  BOOST_TEST(Again->EjectedFor_.count() == 2'000);
+}
+
 BOOST_AUTO_TEST_CASE(deep_nesting_is_refused_not_a_crash) {
   CodecFault Why;
   BOOST_TEST(!parseJson(std::string(100'000, '['), Why).has_value());
--- a/tests/unit/health_test.cpp
+++ b/tests/unit/health_test.cpp
@@ -77,10 +77,12 @@
 BOOST_FIXTURE_TEST_CASE(backoff_doubles_to_the_maximum, Fixture) {
   run("eeeee");
   for (const Duration Backoff : {1s, 2s, 4s, 8s, 16s, 32s, 60s, 60s}) {
+    BOOST_TEST((Health_.ejectedFor() == Backoff));
     Time_ += Backoff - 1ns;
     BOOST_TEST(!Health_.canStart());
     Time_ += 1ns;
     BOOST_TEST(Health_.canStart());
+    BOOST_TEST((Health_.ejectedFor() == Duration::zero()));
     run("e");
   }
 }
