Take the ports of test processes below the ephemeral range

Cause: one run of process_minions_test failed because a listen address of entry-0 was taken; its port came from the range of outgoing connections.

Change: ProcessCluster takes free ports from 12000 to 31999; outgoing connections use 32768 and above here.

Conclusion: outgoing connections no longer take these ports; two programs that pick ports at the same time can still collide.

--- a/tests/standins/process_cluster.cpp
+++ b/tests/standins/process_cluster.cpp
@@ -3,6 +3,8 @@
 #include "wigeonwall/connection/http_client.h"
 #include "wigeonwall/request/codec.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -30,17 +32,26 @@
 constexpr std::array<const char *, 3> FailureDomains{
     "joburg-north", "joburg-south", "pretoria-east"};
 constexpr const char *ExampleConfig = "examples/permit-desk.json";
+constexpr std::uint32_t FirstPort = 12'000;
+constexpr std::uint32_t PortCount = 20'000;
 constexpr const char *MinionPrefix = "minion-";
 
 /// Returns loopback addresses whose ports were free a moment ago.
+///
+/// The ports are below the range of outgoing connections, one of which would
+/// otherwise take a port before its process listens or while it restarts.
 std::vector<Endpoint> freeAddresses(std::size_t Count) {
+  static std::uint32_t Next = static_cast<std::uint32_t>(getpid()) * 97;
   asio::io_context Context;
-  std::vector<asio::ip::tcp::acceptor> Held;
   std::vector<Endpoint> Result;
-  for (std::size_t I = 0; I < Count; ++I) {
-    Held.emplace_back(
-        Context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    Result.push_back({"127.0.0.1", Held.back().local_endpoint().port()});
+  while (Result.size() < Count) {
+    const auto Port =
+        static_cast<std::uint16_t>(FirstPort + Next++ % PortCount);
+    asio::ip::tcp::acceptor Probe(Context, asio::ip::tcp::v4());
+    boost::system::error_code Taken;
+    Probe.bind({asio::ip::address_v4::loopback(), Port}, Taken);
+    if (!Taken)
+      Result.push_back({"127.0.0.1", Port});
   }
   return Result;
 }
