Add operator commands, per-part metrics and log lines of state changes

Cause: operators had no command for the state of a process, the metrics lacked latencies, queues, ejections and retries, two counters were looked up by name with a lock on each message and job, and members, documents, ejections and outages of the key-value service left no named log line.

GET /status has the load of the process, the health of its minion and the ejected minions, read from atomic counters. All metrics have the prefix `wigeonwall_`; docs/metrics.md lists them, and a test compares the list with an exposition after one job in both directions. Each part looks its counters up once, in its constructor; a histogram per kind is looked up by kind without a lock, and callers cannot create series with invented kinds. Log events: member_joined, member_dead, member_left, member_leaving, map_epoch_changed, config_version_changed, minion_ejected, minion_readmitted, store_unreachable, store_reachable. The parts are one commit, because they change the same lines of the home, the gateway and the entry.

The effect on the path of a task was not measured.

Conclusion: scrapers that used the names without the prefix must change; wigeonwall_members has the label state now.

--- a/apps/wigeonwallctl/command.h
+++ b/apps/wigeonwallctl/command.h
@@ -59,6 +59,12 @@
 int runConfig(const Arguments &Args, Console Streams);
 extern const char TraceUsage[];
 int runTrace(const Arguments &Args, Console Streams);
+extern const char MembersUsage[];
+int runMembers(const Arguments &Args, Console Streams);
+extern const char DrainUsage[];
+int runDrain(const Arguments &Args, Console Streams);
+extern const char BatchUsage[];
+int runBatch(const Arguments &Args, Console Streams);
 extern const char GenerateTraceUsage[];
 int runGenerateTrace(const Arguments &Args, Console Streams);
 
--- a/packages/process/include/wigeonwall/process/admin_api.h
+++ b/packages/process/include/wigeonwall/process/admin_api.h
@@ -19,6 +19,31 @@
   std::function<void()> Drain_;
 };
 
+/// \brief Load and ejections of this process, read from its counters.
+///
+/// The traffic threads write the counters each 20 ms; the control thread only
+/// reads atomic values, so neither waits for the other.
+class StatusCounters {
+public:
+  explicit StatusCounters(Counters &All);
+
+  /// \brief Queues, running tasks and jobs.
+  [[nodiscard]] Json::Value describe() const;
+  /// \brief Health of the own minion and its ejections by cause; null at an
+  /// entry.
+  [[nodiscard]] Json::Value describeMinion() const;
+  /// \brief Agents whose minions this process sends no tasks to.
+  [[nodiscard]] Json::Value describeEjected() const;
+
+private:
+  const Counters &All_;
+  const Counters::Value &Waiting_;
+  const Counters::Value &InFlight_;
+  const Counters::Value &Queued_;
+  const Counters::Value &Running_;
+  const Counters::Value &Health_;
+};
+
 /// \brief Serves the administration port.
 ///
 /// | request       | answer                                             |
@@ -27,13 +52,14 @@
 /// | GET /readyz   | 200, or 503 before the documents are known and      |
 /// |               | during a planned stop                               |
 /// | GET /metrics  | counters in text exposition format                  |
-/// | GET /status   | members, map epoch, configuration version as JSON   |
+/// | GET /status   | members, map epoch, configuration version, load and |
+/// |               | ejected minions as JSON                             |
 /// | POST /drain   | 202; the process stops when its work has ended      |
 [[nodiscard]] connection::HttpHandler
-makeAdminHandler(const ViewPublisher &Views, const Counters &ProcessCounters,
+makeAdminHandler(const ViewPublisher &Views, Counters &ProcessCounters,
                  AdminHooks Hooks);
 
-/// \brief JSON of `/status`.
+/// \brief The part of `/status` that comes from the view.
 [[nodiscard]] Json::Value describeView(const ClusterView &View);
 
 } // namespace wigeonwall::process
--- a/packages/process/include/wigeonwall/process/counters.h
+++ b/packages/process/include/wigeonwall/process/counters.h
@@ -32,6 +32,7 @@
 
 /// \brief Named counters, gauges and histograms; safe from any thread.
 ///
+/// Names in the code lack the prefix `wigeonwall_`, which exposition() adds.
 /// References stay valid for the life of the object, so that hot paths look a
 /// counter up once.
 /// \code
@@ -48,6 +49,10 @@
                                      const std::string &Label = {},
                                      const std::string &LabelValue = {});
 
+  /// \brief Values of the counters \p Name by label value.
+  [[nodiscard]] std::map<std::string, std::int64_t>
+  labelled(const std::string &Name) const;
+
   /// \brief Text exposition format, as scraped from `/metrics`.
   [[nodiscard]] std::string exposition() const;
 
--- a/packages/process/include/wigeonwall/process/dispatch_policy.h
+++ b/packages/process/include/wigeonwall/process/dispatch_policy.h
@@ -11,6 +11,7 @@
 #include "wigeonwall/request/job_table.h"
 #include "wigeonwall/request/placement.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -24,6 +25,12 @@
   DispatchPolicy(const AgentSettings &Options, request::Clock Now,
                  std::uint64_t Seed);
 
+  /// \brief Calls \p Hook with the agents whose ejection is honoured, when
+  /// they change.
+  void observeEjections(
+      std::function<void(const std::vector<std::string> &Agents)> Hook) {
+    OnEjections_ = std::move(Hook);
+  }
   /// \brief Takes the agents, kinds and teams of a new view.
   void onViewChange(const ClusterView &View);
 
@@ -64,6 +71,8 @@
   request::AdmissionController Admission_;
   /// Reported severity of ejected minions by agent.
   std::map<std::string, double> Ejected_;
+  std::vector<std::string> Honoured_;
+  std::function<void(const std::vector<std::string> &)> OnEjections_;
   std::size_t AgentCount_ = 0;
   std::uint64_t ConfigVersion_ = 0;
 };
--- a/packages/process/include/wigeonwall/process/earlier_holders.h
+++ b/packages/process/include/wigeonwall/process/earlier_holders.h
@@ -58,6 +58,7 @@
   void finish(const std::shared_ptr<Inquiry> &State, SettlementResult Result);
 
   AgentContext Context_;
+  Counters::Value &SealsSent_;
 };
 
 /// \brief Interprets the reply to `record.seal`; nothing for `sealed`.
--- a/packages/process/include/wigeonwall/process/entry.h
+++ b/packages/process/include/wigeonwall/process/entry.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_PROCESS_ENTRY_H
 
 #include "wigeonwall/process/agent_context.h"
+#include "wigeonwall/process/metrics.h"
 #include "wigeonwall/process/trace.h"
 #include "wigeonwall/request/types.h"
 
@@ -86,6 +87,7 @@
     std::uint64_t Fingerprint_ = 0;
     std::uint64_t Serial_ = 0;
     std::vector<Waiter> Waiting_;
+    request::TimePoint SubmittedAt_;
     request::TimePoint Deadline_;
     request::TimePoint AskAgainAt_;
     /// Since when the home has not answered; unset while it does.
@@ -124,6 +126,9 @@
   std::uint64_t NextSerial_ = 1;
   std::uint64_t NextWaiter_ = 1;
   std::size_t Watches_ = 0;
+  EntryMetrics Metrics_;
+  /// Share of this entry in Metrics_.JobsWaiting_.
+  std::int64_t PublishedWaiting_ = 0;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -7,6 +7,7 @@
 #include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/process/earlier_holders.h"
 #include "wigeonwall/process/job_traces.h"
+#include "wigeonwall/process/metrics.h"
 #include "wigeonwall/process/task_dispatcher.h"
 #include "wigeonwall/request/job_table.h"
 #include "wigeonwall/request/record_copies.h"
@@ -82,6 +83,7 @@
   TaskDispatcher Dispatcher_;
   CallBatcher Prepares_;
   CallBatcher Finishes_;
+  HomeMetrics Metrics_;
   bool Leaving_ = false;
 };
 
--- a/packages/process/include/wigeonwall/process/minion_gateway.h
+++ b/packages/process/include/wigeonwall/process/minion_gateway.h
@@ -6,6 +6,7 @@
 #include "wigeonwall/connection/http_client.h"
 #include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/process/job_traces.h"
+#include "wigeonwall/process/metrics.h"
 #include "wigeonwall/request/fair_queue.h"
 #include "wigeonwall/request/health.h"
 #include "wigeonwall/request/start_gate.h"
@@ -88,7 +89,7 @@
   MinionCall Call_;
   request::StartGate Gate_;
   CallBatcher Results_;
-  Counters::Value &Starts_;
+  GatewayMetrics Metrics_;
   std::unordered_map<std::uint64_t, GatewayTask> Queued_;
   std::unordered_map<std::uint64_t, GatewayTask> Running_;
   std::uint64_t ConfigVersion_ = 0;
--- a/packages/process/include/wigeonwall/process/task_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/task_dispatcher.h
@@ -6,6 +6,7 @@
 #include "wigeonwall/process/agent_context.h"
 #include "wigeonwall/process/dispatch_policy.h"
 #include "wigeonwall/process/job_traces.h"
+#include "wigeonwall/process/metrics.h"
 #include "wigeonwall/request/job_table.h"
 
 #include <string>
@@ -68,7 +69,7 @@
   EndHook End_;
   CallBatcher Starts_;
   CallBatcher Cancels_;
-  Counters::Value &Placements_;
+  DispatcherMetrics Metrics_;
 };
 
 } // namespace wigeonwall::process
--- a/packages/process/src/admin_api.cpp
+++ b/packages/process/src/admin_api.cpp
@@ -1,6 +1,7 @@
 #include "wigeonwall/process/admin_api.h"
 
 #include "wigeonwall/request/codec.h"
+#include "wigeonwall/request/health.h"
 
 namespace wigeonwall::process {
 
@@ -32,8 +33,52 @@
   return Value;
 }
 
+Json::Value encodeCounts(const std::map<std::string, std::int64_t> &Counts) {
+  Json::Value Value(Json::objectValue);
+  for (const auto &[Label, Count] : Counts)
+    if (Count != 0)
+      Value[Label] = Json::Int64(Count);
+  return Value;
+}
+
 } // namespace
 
+StatusCounters::StatusCounters(Counters &All)
+    : All_(All), Waiting_(All.counter("entry_jobs_waiting")),
+      InFlight_(All.counter("jobs_in_flight")),
+      Queued_(All.counter("tasks_queued")),
+      Running_(All.counter("tasks_running")),
+      Health_(All.counter("minion_health_state")) {}
+
+Json::Value StatusCounters::describe() const {
+  Json::Value Value;
+  Value["entry_jobs_waiting"] = Json::Int64(Waiting_.load());
+  Value["jobs_in_flight"] = Json::Int64(InFlight_.load());
+  Value["tasks_queued"] = Json::Int64(Queued_.load());
+  Value["tasks_running"] = Json::Int64(Running_.load());
+  return Value;
+}
+
+Json::Value StatusCounters::describeMinion() const {
+  // Only a gateway has these counters.
+  if (All_.labelled("minion_calls_total").empty())
+    return {};
+  Json::Value Value;
+  Value["state"] = std::string(
+      request::findName(request::HealthStateNames,
+                        static_cast<request::HealthState>(Health_.load())));
+  Value["ejections"] = encodeCounts(All_.labelled("minion_ejections_total"));
+  return Value;
+}
+
+Json::Value StatusCounters::describeEjected() const {
+  Json::Value Value(Json::arrayValue);
+  for (const auto &[Agent, Ejected] : All_.labelled("minion_ejected"))
+    if (Ejected != 0)
+      Value.append(Agent);
+  return Value;
+}
+
 Json::Value describeView(const ClusterView &View) {
   Json::Value Value;
   Value["ready"] = View.ready();
@@ -58,10 +103,11 @@
 }
 
 connection::HttpHandler makeAdminHandler(const ViewPublisher &Views,
-                                         const Counters &ProcessCounters,
+                                         Counters &ProcessCounters,
                                          AdminHooks Hooks) {
-  return [&Views, &ProcessCounters, Hooks = std::move(Hooks)](
-             const HttpRequest &Request, const HttpRespond &Respond) {
+  return [&Views, &ProcessCounters, Status = StatusCounters(ProcessCounters),
+          Hooks = std::move(Hooks)](const HttpRequest &Request,
+                                    const HttpRespond &Respond) {
     const std::string What = Request.Method_ + " " + Request.Target_;
     if (What == "GET /healthz")
       return Respond(text(200, "ok\n"));
@@ -77,7 +123,11 @@
     if (What != "GET /status")
       return Respond(text(404, "no such resource\n"));
     HttpResponse Response;
-    Response.Body_ = request::writeJson(describeView(*Views.current())) + "\n";
+    Json::Value Body = describeView(*Views.current());
+    Body["load"] = Status.describe();
+    Body["minion"] = Status.describeMinion();
+    Body["ejected_minions"] = Status.describeEjected();
+    Response.Body_ = request::writeJson(Body) + "\n";
     Respond(std::move(Response));
   };
 }
--- a/packages/process/src/counters.cpp
+++ b/packages/process/src/counters.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double FirstBoundSeconds = 0.001;
+constexpr const char *Prefix = "wigeonwall_";
 constexpr double NanosecondsPerSecond = 1e9;
 
 std::string seriesName(const std::string &Name, const std::string &Label,
@@ -95,13 +96,31 @@
   return *Slot;
 }
 
+std::map<std::string, std::int64_t>
+Counters::labelled(const std::string &Name) const {
+  const std::scoped_lock Lock(Mutex_);
+  std::map<std::string, std::int64_t> Result;
+  const std::string Start = Name + "{";
+  for (auto Each = Values_.lower_bound(Start);
+       Each != Values_.end() &&
+       Each->first.compare(0, Start.size(), Start) == 0;
+       ++Each) {
+    const std::string &Series = Each->first;
+    const std::size_t First = Series.find('"') + 1;
+    Result[Series.substr(First, Series.rfind('"') - First)] =
+        Each->second->load(std::memory_order_relaxed);
+  }
+  return Result;
+}
+
 std::string Counters::exposition() const {
   const std::scoped_lock Lock(Mutex_);
   std::ostringstream Out;
   for (const auto &[Series, Value] : Values_)
-    Out << Series << ' ' << Value->load(std::memory_order_relaxed) << '\n';
+    Out << Prefix << Series << ' ' << Value->load(std::memory_order_relaxed)
+        << '\n';
   for (const auto &[Series, Values] : Histograms_)
-    writeHistogram(Out, Series, *Values);
+    writeHistogram(Out, Prefix + Series, *Values);
   return Out.str();
 }
 
--- a/packages/process/src/dispatch_policy.cpp
+++ b/packages/process/src/dispatch_policy.cpp
@@ -101,9 +101,13 @@
   std::vector<request::EjectedMinion> Reports;
   for (const auto &[Agent, Severity] : Ejected_)
     Reports.push_back({Agent, Severity});
-  const auto Honoured =
-      request::honouredEjections(std::move(Reports), AgentCount_);
+  auto Honoured = request::honouredEjections(std::move(Reports), AgentCount_);
   Placer_.setEjected({Honoured.begin(), Honoured.end()});
+  if (Honoured == Honoured_)
+    return;
+  Honoured_ = std::move(Honoured);
+  if (OnEjections_)
+    OnEjections_(Honoured_);
 }
 
 void DispatchPolicy::finish(const std::string &Agent) {
--- a/packages/process/src/earlier_holders.cpp
+++ b/packages/process/src/earlier_holders.cpp
@@ -42,7 +42,8 @@
 };
 
 EarlierHolders::EarlierHolders(AgentContext Context)
-    : Context_(std::move(Context)) {}
+    : Context_(std::move(Context)),
+      SealsSent_(Context_.Counters_.counter("record_seals_sent_total")) {}
 
 bool EarlierHolders::isSelf(const MapAgent *Agent) const {
   return Agent != nullptr && Agent->Id_ == Context_.Self_.Id_ &&
@@ -103,7 +104,7 @@
   writeJobKey(Params, State->Key_);
   Params["epoch"] = Json::UInt64(currentEpoch(*Context_.View_()));
   Params["to_incarnation"] = Json::Int64(Holder.Incarnation_);
-  Context_.Counters_.counter("record_seals_sent_total").fetch_add(1);
+  SealsSent_.fetch_add(1);
   Context_.Call_(
       Holder.TrafficAddress_, "record.seal", std::move(Params), CallTimeout,
       [this, State, Pair, Holder,
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -55,7 +55,8 @@
 };
 
 Entry::Entry(AgentContext Context, std::size_t MaxJobs)
-    : Context_(std::move(Context)), MaxJobs_(MaxJobs) {}
+    : Context_(std::move(Context)), MaxJobs_(MaxJobs),
+      Metrics_(Context_.Counters_) {}
 
 Entry::Pending *Entry::find(const JobKey &Key, std::uint64_t Serial) {
   const auto Found = Pending_.find(Key);
@@ -67,21 +68,28 @@
 EntryRefusal Entry::submit(JobSpec Spec, AnswerCallback Done,
                            std::optional<request::Duration> Wait,
                            std::string_view TraceParent) {
-  if (!Context_.View_()->ready())
+  if (!Context_.View_()->ready()) {
+    Metrics_.NotReady_.fetch_add(1);
     return EntryRefusal::NotReady;
+  }
   const std::uint64_t Fingerprint = request::fingerprint(Spec);
   if (const auto Found = Pending_.find(Spec.Key_); Found != Pending_.end()) {
-    if (Found->second->Fingerprint_ != Fingerprint)
+    if (Found->second->Fingerprint_ != Fingerprint) {
+      Metrics_.Conflict_.fetch_add(1);
       return EntryRefusal::Conflict;
+    }
     wait(*Found->second, std::move(Done), Wait);
     return EntryRefusal::None;
   }
-  if (Pending_.size() >= MaxJobs_)
+  if (Pending_.size() >= MaxJobs_) {
+    Metrics_.TooManyJobs_.fetch_add(1);
     return EntryRefusal::TooManyJobs;
+  }
   auto Job = std::make_unique<Pending>();
   Job->Fingerprint_ = Fingerprint;
   Job->Serial_ = NextSerial_++;
-  Job->Deadline_ = Context_.Now_() + Spec.Timeout_ + AnswerGrace;
+  Job->SubmittedAt_ = Context_.Now_();
+  Job->Deadline_ = Job->SubmittedAt_ + Spec.Timeout_ + AnswerGrace;
   Job->Spec_ = std::move(Spec);
   if (Context_.Trace_ != nullptr)
     Job->Span_ =
@@ -198,8 +206,10 @@
   Job.AskAgainAt_ = Context_.Now_() + AskAgainWhenSilent;
   Context_.After_(Delay, [this, Key = Job.Spec_.Key_, Serial = Job.Serial_] {
     Pending *Current = find(Key, Serial);
-    if (Current != nullptr && !Current->Asking_)
-      ask(*Current);
+    if (Current == nullptr || Current->Asking_)
+      return;
+    Metrics_.SubmitResends_.fetch_add(1);
+    ask(*Current);
   });
 }
 
@@ -276,6 +286,9 @@
   tagSpan(
       Job.Span_.get(), "outcome",
       std::string(request::findName(request::OutcomeNames, Answer.Outcome_)));
+  Metrics_.JobTime_.recordConfigured(Key.Service_, Job.Spec_.Kind_,
+                                     Context_.View_()->Config_.get(),
+                                     Context_.Now_() - Job.SubmittedAt_);
   const auto Waiting = std::move(Job.Waiting_);
   Pending_.erase(Key);
   for (const Waiter &Each : Waiting)
@@ -292,8 +305,13 @@
     else if (!Job->Asking_ && Job->AskAgainAt_ <= Now)
       Silent.push_back(Job.get());
   }
-  for (Pending *Job : Silent)
+  const auto Waiting = static_cast<std::int64_t>(Pending_.size());
+  Metrics_.JobsWaiting_.fetch_add(Waiting - PublishedWaiting_);
+  PublishedWaiting_ = Waiting;
+  for (Pending *Job : Silent) {
+    Metrics_.SubmitResends_.fetch_add(1);
     ask(*Job);
+  }
   for (Pending *Job : Overdue)
     answer(*Job, Job->SilentSince_
                      ? negative(Outcome::Failed, Reason::OutcomeUnknown,
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -88,7 +88,12 @@
             Header["home"] = encodeHome(Context_.Self_);
             return Header;
           },
-          nullptr, CallTimeout) {}
+          nullptr, CallTimeout),
+      Metrics_(Context_.Counters_) {
+  Policy_.observeEjections([this](const std::vector<std::string> &Agents) {
+    Metrics_.setEjected(Agents);
+  });
+}
 
 version::HolderPair
 Home::currentPair(const JobKey &Key,
@@ -138,7 +143,7 @@
   JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
   Record.ReplyTo_.insert(ReplyTo);
   Traces_.begin(Record.Spec_.Key_, TraceParent);
-  Context_.Counters_.counter("jobs_accepted_total").fetch_add(1);
+  Metrics_.Accepted_.fetch_add(1);
   // Settling may erase the record, so it waits until the reply is made.
   later(Record, request::Duration::zero(), &Home::settle);
   return describe(Record);
@@ -316,17 +321,9 @@
   if (Record.Admitted_)
     Policy_.releaseRest(Record);
   const bool Recorded = Record.Refusal_.has_value();
-  Context_.Counters_
-      .counter("jobs_ended_total", "outcome",
-               std::string(
-                   request::findName(request::OutcomeNames, Answer.Outcome_)))
-      .fetch_add(1);
+  Metrics_.Ended_[Answer.Outcome_].fetch_add(1);
   if (Answer.Outcome_ != Outcome::Complete)
-    Context_.Counters_
-        .counter("jobs_negative_total", "reason",
-                 std::string(
-                     request::findName(request::ReasonNames, Answer.Reason_)))
-        .fetch_add(1);
+    Metrics_.Negative_[Answer.Reason_].fetch_add(1);
   Traces_.end(Record.Spec_.Key_,
               request::findName(request::OutcomeNames, Answer.Outcome_),
               request::findName(request::ReasonNames, Answer.Reason_));
@@ -382,6 +379,7 @@
       end(*Record, negative(Outcome::Failed, Reason::DeadlineExceeded,
                             "the job did not end before its deadline"));
   Jobs_.dropExpired();
+  Metrics_.InFlight_.store(static_cast<std::int64_t>(Jobs_.unfinished()));
   Copies_.dropExpired();
 }
 
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -57,7 +57,7 @@
             return Header;
           },
           nullptr, CallTimeout),
-      Starts_(Context_.Counters_.counter("task_starts_total")) {}
+      Metrics_(Context_.Counters_, Service_) {}
 
 Json::Value MinionGateway::start(const Json::Value &Params) {
   const request::HomeIdentity Home = decodeHome(Params["home"]);
@@ -100,7 +100,7 @@
   case GateResult::Refused:
     return refused(Reason::Retry);
   case GateResult::Duplicate:
-    Context_.Counters_.counter("duplicate_starts_refused_total").fetch_add(1);
+    Metrics_.Duplicates_.fetch_add(1);
     return refused(Reason::Duplicate);
   case GateResult::StaleEpoch:
     return refused(Reason::StaleEpoch);
@@ -162,7 +162,8 @@
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Task.Deadline_ - Now);
   Policy_.recordQueueDelay(Task.Kind_, Now - Task.QueuedAt_);
-  Starts_.fetch_add(1);
+  Metrics_.QueueDelay_.record(Service_, Task.Kind_, Now - Task.QueuedAt_);
+  Metrics_.Starts_.fetch_add(1);
   Task.Trace_.running(Task.Job_, Task.Task_);
   Call_(Task, std::max(Left, std::chrono::milliseconds(1)),
         [this, Ticket, Now, Health = Health_.begin()](MinionReply Reply) {
@@ -181,6 +182,10 @@
   if (!Reply.Result_.Started_)
     Gate_.refuse(Task.Job_, Task.Task_);
   Health_.record(HealthTicket, Reply.Outcome_);
+  Metrics_.noteOutcome(Reply.Outcome_);
+  Metrics_.updateHealth(Health_.state());
+  if (Reply.Result_.Started_)
+    Metrics_.RunTime_.record(Service_, Task.Kind_, Context_.Now_() - StartedAt);
   if (Reply.Result_.Reason_ == Reason::None)
     Policy_.recordRun(Task.Kind_, Context_.Now_() - StartedAt);
   Queue_.finish(Task.Kind_);
@@ -221,6 +226,7 @@
       --Undelivered_;
       return;
     }
+    Metrics_.ResultResends_.fetch_add(1);
     Context_.After_(DeliverAgainDelay,
                     [this, Home, Item] { deliver(Home, Item); });
   });
@@ -249,6 +255,9 @@
 
 void MinionGateway::tick() {
   handBack(Queue_.removeExpired(), Reason::DeadlineExceeded);
+  Metrics_.updateHealth(Health_.state());
+  Metrics_.Queued_.store(static_cast<std::int64_t>(Queued_.size()));
+  Metrics_.Running_.store(static_cast<std::int64_t>(Running_.size()));
 }
 
 void MinionGateway::onViewChange() {
--- a/packages/process/src/process_host.cpp
+++ b/packages/process/src/process_host.cpp
@@ -7,7 +7,9 @@
 #include "wigeonwall/process/control_plane.h"
 #include "wigeonwall/process/event_loop.h"
 #include "wigeonwall/process/log.h"
+#include "wigeonwall/process/metrics.h"
 #include "wigeonwall/process/role_context.h"
+#include "wigeonwall/process/store_monitor.h"
 #include "wigeonwall/process/trace.h"
 #include "wigeonwall/version/config_codec.h"
 
@@ -44,7 +46,6 @@
 private:
   [[nodiscard]] ControlPlaneDependencies controlDependencies();
   [[nodiscard]] ControlPlaneOptions controlOptions() const;
-  void publishGauges(const ClusterView &View);
   void beginStop(const char *Cause);
   void checkDrained();
   void finishStop(ExitCode Code);
@@ -59,6 +60,8 @@
   std::unique_ptr<Trace> Trace_;
   std::unique_ptr<detail::RoleThreads> Role_;
   connection::ConsulStore Store_;
+  StoreMonitor MonitoredStore_;
+  ViewMetrics ViewMetrics_;
   ControlPlane Plane_;
   connection::HttpServer Admin_;
   asio::signal_set Signals_;
@@ -85,6 +88,7 @@
              [&Calls = Counters_.counter("store_calls_total")] {
                Calls.fetch_add(1);
              }),
+      MonitoredStore_(Store_, Counters_), ViewMetrics_(Counters_),
       Plane_(controlDependencies(), controlOptions()),
       Admin_(Control_, Options_.AdminListen_, {},
              makeAdminHandler(
@@ -93,14 +97,14 @@
                   [this] { beginStop("request"); }})),
       Signals_(Control_, SIGINT, SIGTERM), After_(makeSchedule(Control_)) {
   Views_.observe([this](const std::shared_ptr<const ClusterView> &View) {
-    publishGauges(*View);
+    ViewMetrics_.update(*View);
     Role_->onViewChange();
   });
 }
 
 ControlPlaneDependencies ProcessHost::Implementation::controlDependencies() {
   return {Control_,
-          Store_,
+          MonitoredStore_,
           Views_,
           steadyClock(),
           systemClock(),
@@ -129,16 +133,6 @@
   return Result;
 }
 
-void ProcessHost::Implementation::publishGauges(const ClusterView &View) {
-  Counters_.counter("map_epoch")
-      .store(static_cast<std::int64_t>(View.Map_ ? View.Map_->Epoch_ : 0));
-  Counters_.counter("config_version")
-      .store(
-          static_cast<std::int64_t>(View.Config_ ? View.Config_->Version_ : 0));
-  Counters_.counter("members").store(
-      static_cast<std::int64_t>(View.Members_.size()));
-}
-
 ExitCode ProcessHost::Implementation::run() {
   if (SpanFile_ && !SpanFile_->opened()) {
     logEvent("process", "start_failed",
--- a/packages/process/src/role_context.cpp
+++ b/packages/process/src/role_context.cpp
@@ -2,11 +2,40 @@
 
 #include "wigeonwall/process/event_loop.h"
 
+#include <array>
+#include <unordered_map>
+
 namespace wigeonwall::process {
 
 namespace {
 
 constexpr std::uint64_t TrafficBodyBytes = 64ULL * 1024 * 1024;
+constexpr const char *OtherMethod = "other";
+constexpr std::array Methods{
+    "job.submit",      "job.finished",      "job.status",
+    "job.cancel",      "record.prepare",    "record.finish",
+    "record.seal",     "task.start",        "task.results",
+    "task.cancel",     "membership.probe",  "membership.probeVia",
+    "membership.join", "document.announce", "document.fetch",
+    OtherMethod};
+
+/// Received at 0, sent at 1.
+struct MethodCounters {
+  std::array<Counters::Value *, 2> Messages_;
+  std::array<Counters::Value *, 2> Bytes_;
+};
+using MessageCounters = std::unordered_map<std::string, MethodCounters>;
+
+MessageCounters makeMessageCounters(Counters &All) {
+  MessageCounters Result;
+  for (const char *Method : Methods)
+    Result[Method] = {
+        {&All.counter("messages_received_total", "method", Method),
+         &All.counter("messages_sent_total", "method", Method)},
+        {&All.counter("message_bytes_received_total", "method", Method),
+         &All.counter("message_bytes_sent_total", "method", Method)}};
+  return Result;
+}
 
 } // namespace
 
@@ -35,16 +64,15 @@
 }
 
 connection::RpcObserver makeMessageObserver(Counters &ProcessCounters) {
-  return [&ProcessCounters](const std::string &Method, std::size_t Bytes,
-                            bool Outgoing) {
-    const std::string Name =
-        Outgoing ? "messages_sent_total" : "messages_received_total";
-    ProcessCounters.counter(Name, "method", Method).fetch_add(1);
-    ProcessCounters
-        .counter(Outgoing ? "message_bytes_sent_total"
-                          : "message_bytes_received_total",
-                 "method", Method)
-        .fetch_add(static_cast<std::int64_t>(Bytes));
+  auto Known = std::make_shared<const MessageCounters>(
+      makeMessageCounters(ProcessCounters));
+  return [Known = std::move(Known)](const std::string &Method,
+                                    std::size_t Bytes, bool Outgoing) {
+    const auto Found = Known->find(Method);
+    const auto &Each =
+        Found == Known->end() ? Known->at(OtherMethod) : Found->second;
+    Each.Messages_[Outgoing ? 1 : 0]->fetch_add(1);
+    Each.Bytes_[Outgoing ? 1 : 0]->fetch_add(static_cast<std::int64_t>(Bytes));
   };
 }
 
--- a/packages/process/src/task_dispatcher.cpp
+++ b/packages/process/src/task_dispatcher.cpp
@@ -24,10 +24,6 @@
 constexpr std::chrono::milliseconds NoAgentDelay{100};
 constexpr std::chrono::milliseconds ResendDelay{200};
 
-std::string name(Reason Why) {
-  return std::string(request::findName(request::ReasonNames, Why));
-}
-
 bool canStart(const Member &Agent) {
   return Agent.State_ == MemberState::Alive ||
          Agent.State_ == MemberState::Suspect ||
@@ -59,7 +55,7 @@
       Cancels_(
           Context_.Call_, Context_.After_, "task.cancel",
           [] { return Json::Value(Json::objectValue); }, nullptr, CallTimeout),
-      Placements_(Context_.Counters_.counter("task_placements_total")) {}
+      Metrics_(Context_.Counters_) {}
 
 void TaskDispatcher::start(JobRecord &Record) {
   const JobKey Key = Record.Spec_.Key_;
@@ -106,7 +102,9 @@
   Task.State_ = TaskState::Placed;
   Task.Agent_ = Agent->Id_;
   Task.AgentIncarnation_ = Agent->Incarnation_;
-  Placements_.fetch_add(1);
+  Metrics_.Placements_.fetch_add(1);
+  if (Task.Attempts_ > 1)
+    Metrics_.Retries_.fetch_add(1);
   Traces_.dispatched(Record.Spec_.Key_, Index, Task.Agent_, Task.Attempts_);
   send(Record, Index, *Agent);
 }
@@ -169,7 +167,7 @@
     if (lost(Task, *View))
       return endFailed(*Current, Index, Reason::OutcomeUnknown,
                        "its agent was lost");
-    Context_.Counters_.counter("task_start_resends_total").fetch_add(1);
+    Metrics_.Resends_.fetch_add(1);
     send(*Current, Index, *View->findMember(Task.Agent_));
   });
 }
@@ -218,8 +216,7 @@
   // A stale epoch says nothing about the agent; it may be asked again.
   if (Why != Reason::StaleEpoch)
     Task.Refused_.insert(Task.Agent_);
-  Context_.Counters_.counter("task_refusals_total", "reason", name(Why))
-      .fetch_add(1);
+  Metrics_.Refusals_[Why].fetch_add(1);
   placeLater(Record, Index);
 }
 
--- a/tests/standins/job_cluster.h
+++ b/tests/standins/job_cluster.h
@@ -49,6 +49,8 @@
 
   [[nodiscard]] VirtualTime &time() noexcept { return Time_; }
   [[nodiscard]] FakeNetwork &network() noexcept { return Network_; }
+  /// \brief Counters of all processes together.
+  [[nodiscard]] process::Counters &counters() noexcept { return Counters_; }
 
   /// \brief A job whose task \p I works for \p WorkMs.
   [[nodiscard]] request::JobSpec
--- /dev/null
+++ b/tests/unit/metrics_test.cpp
@@ -0,0 +1,149 @@
+/// \file
+/// \brief Guards docs/metrics.md against names that no process has and against
+/// series that it lacks, and the log lines and gauges of changes.
+#include "standins/job_cluster.h"
+#include "standins/temporary_directory.h"
+
+#include "wigeonwall/process/log.h"
+#include "wigeonwall/process/metrics.h"
+#include "wigeonwall/process/role_context.h"
+#include "wigeonwall/process/store_monitor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace wigeonwall;
+using process::MemberState;
+
+namespace {
+
+std::string readFile(const std::string &Path) {
+  std::ifstream Stream(Path);
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
+std::set<std::string> documentedNames() {
+  std::set<std::string> Names;
+  std::istringstream Lines(readFile("docs/metrics.md"));
+  const std::regex Row("^\\| `(wigeonwall_[a-z_]+).*");
+  for (std::string Line; std::getline(Lines, Line);)
+    if (std::smatch Match; std::regex_match(Line, Match, Row))
+      Names.insert(Match[1]);
+  return Names;
+}
+
+/// Names without labels; the three series of a histogram count as one.
+std::set<std::string> exposedNames(const std::string &Text) {
+  std::set<std::string> Names;
+  std::istringstream Lines(Text);
+  const std::regex Suffix("_seconds_(bucket|sum|count)$");
+  for (std::string Line; std::getline(Lines, Line);)
+    Names.insert(std::regex_replace(Line.substr(0, Line.find_first_of("{ ")),
+                                    Suffix, "_seconds"));
+  return Names;
+}
+
+/// Fails each call while Down_.
+class FlakyStore : public connection::KeyValueStore {
+public:
+  void read(const std::string &, ReadCallback Done) override {
+    if (Down_)
+      return Done(std::nullopt, {connection::StoreError::Unknown, "down", ""});
+    Done(connection::StoreEntry{}, {});
+  }
+  void watch(const std::string &Key, std::uint64_t, std::chrono::milliseconds,
+             ReadCallback Done) override {
+    read(Key, std::move(Done));
+  }
+  void compareAndSwap(const std::string &, std::string, std::uint64_t,
+                      SwapCallback) override {}
+  bool Down_ = false;
+};
+
+process::Member member(const std::string &Id, MemberState State) {
+  process::Member Each;
+  Each.Id_ = Id;
+  Each.State_ = State;
+  return Each;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_table_and_the_exposition_have_the_same_names) {
+  const standins::TemporaryDirectory Files;
+  standins::JobCluster Cluster({.TraceFile_ = Files.file("spans")});
+  Cluster.submit("e0", Cluster.job("j", 2, 100));
+  Cluster.time().advance(std::chrono::seconds(2));
+  // The parts of a process that the cluster does without.
+  process::Counters &All = Cluster.counters();
+  FlakyStore Store;
+  const process::StoreMonitor Monitor(Store, All);
+  const process::ViewMetrics View(All);
+  const auto Observer = process::makeMessageObserver(All);
+  All.counter("store_calls_total").store(1);
+  process::HomeMetrics(All).setEjected({"a0"});
+  BOOST_TEST(documentedNames() == exposedNames(All.exposition()),
+             boost::test_tools::per_element());
+  BOOST_TEST(
+      All.exposition().find("wigeonwall_job_seconds_count{kind=\"permit-desk/"
+                            "setback-check\"} 1\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_cannot_create_series_by_inventing_kinds) {
+  process::Counters All;
+  process::KindHistograms Histograms(All, "job_seconds");
+  const version::Config Config;
+  Histograms.recordConfigured("s", "invented", &Config, {});
+  BOOST_TEST(All.exposition().empty());
+}
+
+BOOST_AUTO_TEST_CASE(changes_of_state_are_one_line_each) {
+  const standins::TemporaryDirectory Files;
+  BOOST_REQUIRE(process::startLog("a0", Files.file("log")));
+  process::Counters All;
+  process::ViewMetrics Metrics(All);
+  process::ClusterView View;
+  View.Members_ = {member("a1", MemberState::Alive)};
+  Metrics.update(View);
+  Metrics.update(View);
+  // A suspicion that is withdrawn gives no line.
+  for (const MemberState State : {MemberState::Suspect, MemberState::Alive,
+                                  MemberState::Suspect, MemberState::Dead}) {
+    View.Members_ = {member("a1", State)};
+    Metrics.update(View);
+  }
+  version::AgentMap Map;
+  Map.Epoch_ = 3;
+  View.Map_ = std::make_shared<const version::AgentMap>(Map);
+  Metrics.update(View);
+  FlakyStore Store;
+  process::StoreMonitor Monitor(Store, All);
+  const auto Read = [&](bool Down) {
+    Store.Down_ = Down;
+    Monitor.read("k", [](auto, auto) {});
+  };
+  for (const bool Down : {true, false, true, true, true, true, false, false})
+    Read(Down);
+  process::GatewayMetrics Gateway(All, "permit-desk");
+  for (const auto State :
+       {request::HealthState::Ejected, request::HealthState::Probing,
+        request::HealthState::Healthy})
+    Gateway.updateHealth(State);
+  std::vector<std::string> Events;
+  std::istringstream Lines(readFile(Files.file("log")));
+  for (std::string Line; std::getline(Lines, Line);) {
+    const std::size_t At = Line.find("event=") + 6;
+    Events.push_back(Line.substr(At, Line.find(' ', At) - At));
+  }
+  const std::vector<std::string> Expected{
+      "member_joined",     "member_dead",     "map_epoch_changed",
+      "store_unreachable", "store_reachable", "minion_ejected",
+      "minion_readmitted"};
+  BOOST_TEST(Events == Expected, boost::test_tools::per_element());
+}
