--- a/packages/process/include/wigeonwall/process/earlier_holders.h
+++ b/packages/process/include/wigeonwall/process/earlier_holders.h
@@ -76,6 +76,7 @@
   AgentContext Context_;
   /// By agent id; the last incarnation of each.
   std::map<std::string, Sighting> Sightings_;
+  Counters::Value &SealsSent_;
 };
 
 /// \brief Interprets the reply to `record.seal`; nothing for `sealed`.
