Let a replaced fleet recover and keep two sides from alternating

Cause: a dead agent left the map only by its own word or a majority, so a fleet replaced under new ids kept its dead agents until the new ones outnumbered them. In a cut of 60:40 with the service reachable from both sides, the larger side removed the smaller one's agents and the smaller one put them back, without end. An agent whose newer incarnation died before the map had it was never removed.

Change: an agent that has certainly ended (it left, a newer incarnation was seen, or a younger process owns its control address) is removed without a majority and does not count in the total. Any other is removed without a majority after 2 h of absence. One that comes back into the map while absent here is removed again only after 15 s, doubling up to 16 minutes.

Conclusion: recovery is immediate on the same addresses; on others, with no more agents than before, it takes 2 h.

--- a/packages/process/include/wigeonwall/process/map_maintainer.h
+++ b/packages/process/include/wigeonwall/process/map_maintainer.h
@@ -24,6 +24,13 @@
   request::Duration RetryTime_ = std::chrono::seconds(1);
   /// Until an agent of the map that membership never heard of counts as dead.
   request::Duration UnknownTime_ = std::chrono::seconds(15);
+  /// Until an absent agent is removed without a majority; twice as long as
+  /// regions may lose each other.
+  request::Duration AbsentTime_ = std::chrono::hours(2);
+  /// Until an absent agent that came back into the map is removed again, after
+  /// its first return. Each further return doubles it, up to 64 times: the
+  /// other side of a cut puts its agents back at once.
+  request::Duration ReturnTime_ = std::chrono::seconds(15);
   /// Between looks at the map while no member changes; unknown agents are
   /// contacted as often.
   request::Duration ReviewPeriod_ = std::chrono::seconds(5);
@@ -70,7 +77,12 @@
   void addJoins(const version::AgentMap &Map, version::MapChange &Change) const;
   void addRemovals(const version::AgentMap &Map, version::MapChange &Change);
   [[nodiscard]] bool seesMajority(const version::AgentMap &Map) const;
-  [[nodiscard]] bool isUnknownForLong(const version::MapAgent &Agent);
+  /// Unix time in ms at which an agent had certainly ended, if it has.
+  [[nodiscard]] std::optional<std::int64_t>
+  endedAt(const version::MapAgent &Agent) const;
+  [[nodiscard]] bool isPresent(const version::MapAgent &Agent) const;
+  [[nodiscard]] bool mayRemove(const version::MapAgent &Agent, bool Majority);
+  void noteOwners();
   [[nodiscard]] std::size_t ownRank(version::Epoch Current) const;
   [[nodiscard]] version::AgentMap known() const;
 
@@ -99,11 +111,17 @@
   request::TimePoint NextReview_;
   request::TimePoint NextAttempt_;
   bool Writing_ = false;
-  struct Unknown {
+  struct Absence {
     request::TimePoint Since_;
     request::TimePoint NextContact_;
+    /// Epoch in which the agent joined the map, and how often that has changed
+    /// since this process lost it.
+    version::Epoch Joined_ = 0;
+    unsigned Returns_ = 0;
   };
-  std::map<std::string, Unknown> Unknown_;
+  std::map<std::string, Absence> Absences_;
+  /// Newest start of a present process by control address.
+  std::map<std::string, std::int64_t> Owners_;
   AliveToken Alive_;
 };
 
--- a/packages/process/src/map_maintainer.cpp
+++ b/packages/process/src/map_maintainer.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr unsigned RemovalAttempts = 3;
+/// Binary logarithm of the longest wait after a return, in ReturnTime_.
+constexpr unsigned MaxReturnDoublings = 6;
 
 /// Weight of an agent in the order of proposers of one epoch.
 std::uint32_t weight(version::Epoch Current, const std::string &Id) {
@@ -136,26 +138,56 @@
 }
 
 void MapMaintainer::addRemovals(const AgentMap &Map, MapChange &Change) {
+  noteOwners();
   const bool Majority = seesMajority(Map);
   for (const MapAgent &Agent : Map.Agents_) {
     if (Agent.RemovedEpoch_ != 0 || Agent.Id_ == Members_.own().Id_)
       continue;
-    const MemberRecord *Record = Members_.table().find(Agent.Id_);
-    if (Record == nullptr) {
-      if (isUnknownForLong(Agent) && Majority)
-        Change.Removals_.push_back({Agent.Id_, Agent.Incarnation_, 0});
-      continue;
-    }
-    Unknown_.erase(Agent.Id_);
-    const MemberUpdate &Update = Record->Update_;
-    // A newer incarnation replaces the agent by its join.
-    if (Update.Member_.Incarnation_ != Agent.Incarnation_ || Update.present())
+    if (isPresent(Agent))
+      Absences_.erase(Agent.Id_);
+    else if (const auto Ended = endedAt(Agent))
+      Change.Removals_.push_back({Agent.Id_, Agent.Incarnation_, *Ended});
+    else if (mayRemove(Agent, Majority))
+      Change.Removals_.push_back({Agent.Id_, Agent.Incarnation_, 0});
+  }
+}
+
+void MapMaintainer::noteOwners() {
+  Owners_.clear();
+  for (const Member &Each : Members_.members()) {
+    if (Each.State_ == MemberState::Dead || Each.State_ == MemberState::Left)
       continue;
-    // An agent that left said so itself, which needs no majority.
-    if (Majority || Update.state() == MemberState::Left)
-      Change.Removals_.push_back(
-          {Agent.Id_, Agent.Incarnation_, Update.StoppedAtMs_});
+    std::int64_t &Newest = Owners_[Each.ControlAddress_];
+    Newest = std::max(Newest, Each.Incarnation_);
+  }
+}
+
+bool MapMaintainer::isPresent(const MapAgent &Agent) const {
+  if (Agent.Id_ == Members_.own().Id_)
+    return true;
+  // A present newer incarnation replaces the agent by its join.
+  const MemberRecord *Record = Members_.table().find(Agent.Id_);
+  return Record != nullptr && Record->Update_.present();
+}
+
+std::optional<std::int64_t>
+MapMaintainer::endedAt(const MapAgent &Agent) const {
+  const MemberRecord *Record = Members_.table().find(Agent.Id_);
+  if (Record != nullptr) {
+    const Member &Known = Record->Update_.Member_;
+    if (Known.Incarnation_ > Agent.Incarnation_)
+      return Known.Incarnation_;
+    // An agent that left said so itself.
+    if (Known.Incarnation_ == Agent.Incarnation_ &&
+        Known.State_ == MemberState::Left)
+      return Record->Update_.StoppedAtMs_;
   }
+  // A younger process that owns the address shows that the older has ended,
+  // whatever its id.
+  const auto Owner = Owners_.find(Agent.ControlAddress_);
+  if (Owner != Owners_.end() && Owner->second > Agent.Incarnation_)
+    return Owner->second;
+  return std::nullopt;
 }
 
 bool MapMaintainer::seesMajority(const AgentMap &Map) const {
@@ -164,25 +196,39 @@
   for (const MapAgent &Agent : Map.Agents_) {
     if (Agent.RemovedEpoch_ != 0)
       continue;
+    const bool Present = isPresent(Agent);
+    // One that has ended is on no side of a cut.
+    if (!Present && endedAt(Agent))
+      continue;
     ++Total;
-    const MemberRecord *Record = Members_.table().find(Agent.Id_);
-    if (Agent.Id_ == Members_.own().Id_ ||
-        (Record != nullptr && Record->Update_.present()))
-      ++Seen;
+    Seen += Present ? 1 : 0;
   }
   return 2 * Seen > Total;
 }
 
-bool MapMaintainer::isUnknownForLong(const MapAgent &Agent) {
+bool MapMaintainer::mayRemove(const MapAgent &Agent, bool Majority) {
   const TimePoint Now = Clock_();
-  Unknown &Each =
-      Unknown_.try_emplace(Agent.Id_, Unknown{Now, Now}).first->second;
+  Absence &Each =
+      Absences_.try_emplace(Agent.Id_, Absence{Now, Now, Agent.JoinedEpoch_, 0})
+          .first->second;
+  // Back in the map: a process that reaches the service sees it alive.
+  if (Agent.JoinedEpoch_ > Each.Joined_) {
+    Each.Since_ = Now;
+    Each.Joined_ = Agent.JoinedEpoch_;
+    Each.Returns_ = std::min(Each.Returns_ + 1, MaxReturnDoublings + 1);
+  }
+  const bool Unknown = Members_.table().find(Agent.Id_) == nullptr;
   // It may be alive in a group that this process has not met.
-  if (Now >= Each.NextContact_) {
+  if (Unknown && Now >= Each.NextContact_) {
     Each.NextContact_ = Now + Options_.ReviewPeriod_;
     Hooks_.Contact_(Agent.ControlAddress_);
   }
-  return Now - Each.Since_ >= Options_.UnknownTime_;
+  const request::Duration Age = Now - Each.Since_;
+  if (!Majority)
+    return Age >= Options_.AbsentTime_;
+  if (Each.Returns_ != 0)
+    return Age >= Options_.ReturnTime_ * (1 << (Each.Returns_ - 1));
+  return !Unknown || Age >= Options_.UnknownTime_;
 }
 
 std::size_t MapMaintainer::ownRank(version::Epoch Current) const {
