Learn from membership messages that holders moved on

Cause: process_deaths_test, case failure_domain_killed, failed in one of three runs: after the loss of a domain every new job ended as outcome_unknown. The two agents of that domain had been alone in the first map, so each job had an open pair of two dead holders for ten minutes. Ruled out: lost copies and a stuck map, since none of the jobs had run and the map had changed. Change: each process notes the map epoch that others state in membership messages, and an earlier pair is settled when one of its holders was heard of above the pair's last epoch more than the clock tolerance before the job was created. Messages state the epoch of the published view. A holder that dies within seconds of a map change, before others heard of it, still leaves its pairs open.

--- a/packages/process/include/wigeonwall/process/cluster_view.h
+++ b/packages/process/include/wigeonwall/process/cluster_view.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -48,6 +49,27 @@
   MemberState State_ = MemberState::Alive;
 };
 
+/// \brief When this process first heard from a member that it had reached an
+/// epoch; the highest one heard of.
+struct EpochSighting {
+  std::int64_t Incarnation_ = 0;
+  version::Epoch Epoch_ = 0;
+  /// Unix time in ms by the own clock.
+  std::int64_t SeenAtMs_ = 0;
+
+  /// \brief Takes a newer incarnation or a higher epoch; false otherwise.
+  bool raise(std::int64_t Incarnation, version::Epoch Epoch,
+             std::int64_t NowMs) noexcept {
+    if (Incarnation < Incarnation_ ||
+        (Incarnation == Incarnation_ && Epoch <= Epoch_))
+      return false;
+    *this = {Incarnation, Epoch, NowMs};
+    return true;
+  }
+};
+
+using EpochSightings = std::map<std::string, EpochSighting>;
+
 /// \brief Immutable snapshot of all control state.
 struct ClusterView {
   /// Null until learned; the process is not ready before it has both.
@@ -55,6 +77,8 @@
   std::shared_ptr<const version::Config> Config_;
   /// This process included.
   std::vector<Member> Members_;
+  /// By member id.
+  EpochSightings Sightings_;
 
   [[nodiscard]] bool ready() const noexcept { return Map_ && Config_; }
   [[nodiscard]] const Member *findMember(const std::string &Id) const {
--- a/packages/process/include/wigeonwall/process/earlier_holders.h
+++ b/packages/process/include/wigeonwall/process/earlier_holders.h
@@ -47,17 +47,11 @@
 private:
   struct Inquiry;
 
-  /// Earliest time, by the own clock, at which a holder was seen under an
-  /// epoch.
-  struct Sighting {
-    std::int64_t Incarnation_ = 0;
-    version::Epoch Epoch_ = 0;
-    std::int64_t SeenAtMs_ = 0;
-  };
-
   void noteEpoch(const version::MapAgent &Holder, const Json::Value &Reply);
-  /// Whether \p Holder refused all earlier epochs before the job existed.
+  /// Whether \p Holder refused \p Last and earlier epochs before the job
+  /// existed.
   [[nodiscard]] bool movedOnBefore(const version::MapAgent *Holder,
+                                   version::Epoch Last,
                                    std::int64_t CreatedAtMs) const;
   [[nodiscard]] bool isSelf(const version::MapAgent *Agent) const;
   [[nodiscard]] bool pairSettled(const version::HolderPair &Pair,
@@ -74,8 +68,8 @@
   void finish(const std::shared_ptr<Inquiry> &State, SettlementResult Result);
 
   AgentContext Context_;
-  /// By agent id; the last incarnation of each.
-  std::map<std::string, Sighting> Sightings_;
+  /// From replies to inquiries.
+  EpochSightings Sightings_;
   Counters::Value &SealsSent_;
 };
 
--- a/packages/process/src/control_plane.cpp
+++ b/packages/process/src/control_plane.cpp
@@ -2,6 +2,7 @@
 
 #include "wigeonwall/process/seed_joiner.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace wigeonwall::process {
@@ -75,6 +76,9 @@
   connection::asio::steady_timer Timer_;
   bool PublishScheduled_ = false;
   bool Stopped_ = false;
+  EpochSightings Sightings_;
+  /// Epoch of the view in force.
+  std::uint64_t PublishedEpoch_ = 0;
   /// Unix time in ms of beginLeaving(); 0 before.
   std::int64_t StoppedAtMs_ = 0;
   AliveToken Alive_;
@@ -248,6 +252,11 @@
   View->Map_ = Spreader_->map();
   View->Config_ = Spreader_->config();
   View->Members_ = Members_->members();
+  std::erase_if(Sightings_, [this](const auto &Each) {
+    return Members_->table().find(Each.first) == nullptr;
+  });
+  View->Sightings_ = Sightings_;
+  PublishedEpoch_ = View->Map_ ? View->Map_->Epoch_ : 0;
   Watcher_->setActive(!Stopped_ && !Members_->superseded() &&
                       isWatcher(Members_->own(), View->Members_));
   Dependencies_.Publisher_.publish(std::move(View));
@@ -260,6 +269,9 @@
 
 Json::Value ControlPlane::State::encode(MembershipMessage Message) const {
   Message.Versions_ = Spreader_->versions();
+  // Others conclude from the epoch that this process refuses older ones, which
+  // holds for its traffic threads once the view is published.
+  Message.Versions_.Map_ = std::min(Message.Versions_.Map_, PublishedEpoch_);
   return encodeMessage(Message);
 }
 
@@ -323,6 +335,11 @@
   // the sender itself when its address is known.
   const MemberRecord *Sender =
       Members_->table().find(Message.From_.Member_.Id_);
+  const Member &From = Message.From_.Member_;
+  if (Sender != nullptr &&
+      Sightings_[From.Id_].raise(From.Incarnation_, Message.Versions_.Map_,
+                                 Dependencies_.WallClockMs_()))
+    schedulePublish();
   const std::string &Source =
       Sender != nullptr ? Sender->Update_.Member_.ControlAddress_ : Address;
   if (!Source.empty())
--- a/packages/process/src/earlier_holders.cpp
+++ b/packages/process/src/earlier_holders.cpp
@@ -54,22 +54,30 @@
                                const Json::Value &Reply) {
   if (!Reply["epoch"].isUInt64())
     return;
-  const version::Epoch Epoch = Reply["epoch"].asUInt64();
-  Sighting &Known = Sightings_[Holder.Id_];
-  if (Known.Incarnation_ == Holder.Incarnation_ && Known.Epoch_ >= Epoch)
-    return;
-  Known = {Holder.Incarnation_, Epoch, Context_.WallMs_()};
+  Sightings_[Holder.Id_].raise(Holder.Incarnation_, Reply["epoch"].asUInt64(),
+                               Context_.WallMs_());
 }
 
-bool EarlierHolders::movedOnBefore(const MapAgent *Holder,
-                                   std::int64_t CreatedAtMs) const {
-  if (Holder == nullptr)
+namespace {
+
+/// Whether the holder was seen above \p Last before the job was created.
+bool seenAbove(const EpochSightings &Sightings, const MapAgent &Holder,
+               version::Epoch Last, std::int64_t CreatedAtMs) {
+  const auto Found = Sightings.find(Holder.Id_);
+  if (Found == Sightings.end())
     return false;
-  const auto Found = Sightings_.find(Holder->Id_);
-  return Found != Sightings_.end() &&
-         Found->second.Incarnation_ == Holder->Incarnation_ &&
-         Found->second.Epoch_ >= currentEpoch(*Context_.View_()) &&
-         CreatedAtMs > Found->second.SeenAtMs_ + ClockToleranceMs;
+  const EpochSighting &Seen = Found->second;
+  return Seen.Incarnation_ == Holder.Incarnation_ && Seen.Epoch_ > Last &&
+         CreatedAtMs > Seen.SeenAtMs_ + ClockToleranceMs;
+}
+
+} // namespace
+
+bool EarlierHolders::movedOnBefore(const MapAgent *Holder, version::Epoch Last,
+                                   std::int64_t CreatedAtMs) const {
+  return Holder != nullptr &&
+         (seenAbove(Sightings_, *Holder, Last, CreatedAtMs) ||
+          seenAbove(Context_.View_()->Sightings_, *Holder, Last, CreatedAtMs));
 }
 
 bool EarlierHolders::pairSettled(const HolderPair &Pair,
@@ -78,8 +86,8 @@
   return isSelf(Pair.Home_) || isSelf(Pair.Copy_) ||
          stoppedBefore(Pair.Home_, CreatedAtMs) ||
          stoppedBefore(Pair.Copy_, CreatedAtMs) ||
-         movedOnBefore(Pair.Home_, CreatedAtMs) ||
-         movedOnBefore(Pair.Copy_, CreatedAtMs);
+         movedOnBefore(Pair.Home_, Pair.LastEpoch_, CreatedAtMs) ||
+         movedOnBefore(Pair.Copy_, Pair.LastEpoch_, CreatedAtMs);
 }
 
 std::vector<HolderPair>
--- a/packages/version/include/wigeonwall/version/agent_map.h
+++ b/packages/version/include/wigeonwall/version/agent_map.h
@@ -50,6 +50,8 @@
   const MapAgent *Home_ = nullptr;
   /// Null when the service has one agent.
   const MapAgent *Copy_ = nullptr;
+  /// Last epoch under which these were the holders; 0 for the current pair.
+  Epoch LastEpoch_ = 0;
 };
 
 /// \brief Present agents and those that left within the record retention.
--- a/packages/version/src/agent_map.cpp
+++ b/packages/version/src/agent_map.cpp
@@ -3,6 +3,7 @@
 #include "wigeonwall/request/field_reader.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -155,17 +156,29 @@
       Starts.insert(Agent.RemovedEpoch_);
   }
   using Identity = std::pair<std::string, std::int64_t>;
-  const HolderPair Current = holders(Key);
-  std::set<std::pair<Identity, Identity>> Seen{
-      {identity(Current.Home_), identity(Current.Copy_)}};
+  const auto IdentityOf = [](const HolderPair &Pair) {
+    return std::pair<Identity, Identity>(identity(Pair.Home_),
+                                         identity(Pair.Copy_));
+  };
+  const auto Current = IdentityOf(holders(Key));
   std::vector<HolderPair> Result;
-  for (Epoch Start : Starts) {
-    if (Start < Oldest || Start >= Epoch_)
+  for (auto Start = Starts.begin(); Start != Starts.end(); ++Start) {
+    if (*Start < Oldest || *Start >= Epoch_)
       continue;
-    const HolderPair Pair = holders(Key, Start);
-    if (Pair.Home_ != nullptr &&
-        Seen.insert({identity(Pair.Home_), identity(Pair.Copy_)}).second)
+    HolderPair Pair = holders(Key, *Start);
+    if (Pair.Home_ == nullptr || IdentityOf(Pair) == Current)
+      continue;
+    const auto Next = std::next(Start);
+    Pair.LastEpoch_ =
+        std::min(Next == Starts.end() ? Epoch_ : *Next, Epoch_) - 1;
+    const auto Known =
+        std::find_if(Result.begin(), Result.end(), [&](const HolderPair &Each) {
+          return IdentityOf(Each) == IdentityOf(Pair);
+        });
+    if (Known == Result.end())
       Result.push_back(Pair);
+    else
+      Known->LastEpoch_ = Pair.LastEpoch_;
   }
   return Result;
 }
--- a/tests/unit/agent_map_test.cpp
+++ b/tests/unit/agent_map_test.cpp
@@ -119,6 +119,8 @@
     const auto Earlier = After.earlierHolders(key(I), After.OldestEpoch_);
     const bool Moved = Old.Home_->Id_ == "a1" || Old.Copy_->Id_ == "a1";
     BOOST_TEST(Earlier.size() == (Moved ? 1U : 0U));
+    if (Moved && !Earlier.empty())
+      BOOST_TEST(Earlier.front().LastEpoch_ == 1U);
     if (Moved && !Earlier.empty())
       BOOST_TEST(Earlier.front().Home_->Id_ == Old.Home_->Id_);
   }
