--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -52,10 +52,6 @@
                                    const std::string &ReplyTo,
                                    const Json::Value &TraceParent);
   [[nodiscard]] Json::Value describe(const request::JobRecord &Record) const;
-  [[nodiscard]] std::optional<request::JobAnswer>
-  checkAge(const request::JobSpec &Spec) const;
-  [[nodiscard]] std::optional<request::JobAnswer>
-  checkAgainstConfig(const request::JobSpec &Spec) const;
   void settle(request::JobRecord &Record);
   void onSettled(request::JobRecord &Record, const SettlementResult &Result);
   void decide(request::JobRecord &Record);
@@ -69,6 +65,8 @@
   void sendAway(request::JobRecord &Record, Json::Value Message);
   void deliver(const std::string &Entry, const Json::Value &Message,
                unsigned Attempt);
+  /// Common part of the messages to copy holders.
+  [[nodiscard]] Json::Value homeHeader() const;
   [[nodiscard]] version::HolderPair
   currentPair(const request::JobKey &Key,
               std::shared_ptr<const ClusterView> &View) const;
--- a/packages/process/src/entry.cpp
+++ b/packages/process/src/entry.cpp
@@ -1,6 +1,7 @@
 #include "wigeonwall/process/entry.h"
 
 #include "wigeonwall/process/earlier_holders.h"
+#include "wigeonwall/process/replies.h"
 #include "wigeonwall/request/codec.h"
 
 #include <algorithm>
@@ -30,14 +31,6 @@
 constexpr std::chrono::milliseconds FirstPollPeriod{50};
 constexpr std::chrono::seconds MaxPollPeriod{1};
 
-JobAnswer negative(Outcome Kind, Reason Why, std::string Detail) {
-  JobAnswer Answer;
-  Answer.Outcome_ = Kind;
-  Answer.Reason_ = Why;
-  Answer.Detail_ = std::move(Detail);
-  return Answer;
-}
-
 /// Text of a field of a peer's reply; "" unless it is a string.
 std::string readText(const Json::Value &Value, const char *Field) {
   if (!Value.isObject() || !Value[Field].isString())
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -1,5 +1,7 @@
 #include "wigeonwall/process/home.h"
 
+#include "wigeonwall/process/job_checks.h"
+#include "wigeonwall/process/replies.h"
 #include "wigeonwall/request/codec.h"
 
 namespace wigeonwall::process {
@@ -20,51 +22,6 @@
 constexpr unsigned MaxDeliveries = 3;
 /// A larger answer is kept by the home only, to bound the traffic of copies.
 constexpr std::size_t MaxCopiedAnswerBytes = 64 * 1024;
-/// Requests older than the retention less this may have lost their record.
-constexpr std::chrono::seconds RetentionMargin{60};
-
-JobAnswer negative(Outcome Kind, Reason Why, std::string Detail) {
-  JobAnswer Answer;
-  Answer.Outcome_ = Kind;
-  Answer.Reason_ = Why;
-  Answer.Detail_ = std::move(Detail);
-  return Answer;
-}
-
-Json::Value stateOnly(const char *State) {
-  Json::Value Reply;
-  Reply["state"] = State;
-  return Reply;
-}
-
-Json::Value refused(Reason Why) {
-  Json::Value Reply = stateOnly("refused");
-  Reply["reason"] = std::string(request::findName(request::ReasonNames, Why));
-  return Reply;
-}
-
-Json::Value finalState(const JobAnswer &Answer) {
-  Json::Value Reply = stateOnly("final");
-  Reply["answer"] = request::encodeAnswer(Answer);
-  return Reply;
-}
-
-Json::Value describeCopy(const request::RecordCopy &Copy) {
-  Json::Value Reply = stateOnly(Copy.Final_ ? "final" : "active");
-  Reply["home"] = encodeHome(Copy.Home_);
-  if (Copy.Answer_)
-    Reply["answer"] = request::encodeAnswer(*Copy.Answer_);
-  return Reply;
-}
-
-/// A kind may be non-idempotent whatever the caller says.
-void markNonIdempotent(JobSpec &Spec, const version::Config &Config) {
-  const auto *Service = Config.findService(Spec.Key_.Service_);
-  const auto *Kind =
-      Service == nullptr ? nullptr : Service->findKind(Spec.Kind_);
-  if (Kind != nullptr && Kind->NonIdempotent_)
-    Spec.NonIdempotent_ = true;
-}
 
 bool sameHolder(const version::MapAgent *Agent,
                 const request::HomeIdentity &Self) {
@@ -84,26 +41,22 @@
                   }),
       Prepares_(
           Context_.Call_, Context_.After_, "record.prepare",
-          [this] {
-            Json::Value Header;
-            Header["home"] = encodeHome(Context_.Self_);
-            return Header;
-          },
-          nullptr, CallTimeout),
+          [this] { return homeHeader(); }, nullptr, CallTimeout),
       Finishes_(
           Context_.Call_, Context_.After_, "record.finish",
-          [this] {
-            Json::Value Header;
-            Header["home"] = encodeHome(Context_.Self_);
-            return Header;
-          },
-          nullptr, CallTimeout),
+          [this] { return homeHeader(); }, nullptr, CallTimeout),
       Metrics_(Context_.Counters_) {
   Policy_.observeEjections([this](const std::vector<std::string> &Agents) {
     Metrics_.setEjected(Agents);
   });
 }
 
+Json::Value Home::homeHeader() const {
+  Json::Value Header;
+  Header["home"] = encodeHome(Context_.Self_);
+  return Header;
+}
+
 version::HolderPair
 Home::currentPair(const JobKey &Key,
                   std::shared_ptr<const ClusterView> &View) const {
@@ -115,7 +68,7 @@
 
 Json::Value Home::refuseSubmission(Reason Why) {
   Context_.Counters_.counter("job_submits_refused_total").fetch_add(1);
-  return refused(Why);
+  return refusedReply(Why);
 }
 
 Json::Value Home::submit(const Json::Value &Params) {
@@ -128,7 +81,7 @@
   // A known job is joined under any epoch.
   if (JobRecord *Record = Jobs_.find(Spec->Key_)) {
     if (Record->Fingerprint_ != request::fingerprint(*Spec))
-      return refused(Reason::Conflict);
+      return refusedReply(Reason::Conflict);
     if (Record->State_ != JobState::Final)
       Record->ReplyTo_.insert(ReplyTo);
     return describe(*Record);
@@ -154,7 +107,7 @@
   // This process may hold the copy of a record whose home is gone.
   if (const request::RecordCopy *Copy = Copies_.find(Spec.Key_)) {
     if (Copy->Fingerprint_ != request::fingerprint(Spec))
-      return refused(Reason::Conflict);
+      return refusedReply(Reason::Conflict);
   }
   const std::uint64_t Fingerprint = request::fingerprint(Spec);
   JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
@@ -168,8 +121,8 @@
 
 Json::Value Home::describe(const JobRecord &Record) const {
   if (Record.State_ == JobState::Final)
-    return finalState(Record.Answer_);
-  return stateOnly("pending");
+    return finalReply(Record.Answer_);
+  return stateReply("pending");
 }
 
 void Home::later(const JobRecord &Record, request::Duration Delay,
@@ -190,7 +143,7 @@
   Record.SettledEpoch_ = currentEpoch(*Context_.View_());
   if (const request::RecordCopy *Copy = Copies_.find(Key)) {
     return onSettled(Record,
-                     *readSealReply(describeCopy(*Copy), *Context_.View_()));
+                     *readSealReply(copyReply(*Copy), *Context_.View_()));
   }
   if (Earlier_.settled(Key, Record.Spec_.CreatedAtMs_))
     return decide(Record);
@@ -210,7 +163,7 @@
   case Settlement::Answered:
     return end(Record, Result.Answer_);
   case Settlement::Moved: {
-    Json::Value Message = stateOnly("moved");
+    Json::Value Message = stateReply("moved");
     Message["address"] = Result.Home_.Address_;
     return sendAway(Record, std::move(Message));
   }
@@ -222,45 +175,9 @@
 
 // Admission and the copy ----------------------------------------------------
 
-std::optional<JobAnswer> Home::checkAge(const JobSpec &Spec) const {
-  const auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(
-      retention(*Context_.View_()) - RetentionMargin);
-  if (Context_.WallMs_() - Spec.CreatedAtMs_ <= Limit.count())
-    return std::nullopt;
-  return negative(Outcome::Failed, Reason::Expired,
-                  "the job is older than the retention of records");
-}
-
-std::optional<JobAnswer> Home::checkAgainstConfig(const JobSpec &Spec) const {
-  const auto View = Context_.View_();
-  const auto *Service = View->Config_->findService(Spec.Key_.Service_);
-  if (Service == nullptr)
-    return negative(Outcome::Failed, Reason::UnknownService,
-                    "no service " + Spec.Key_.Service_);
-  const auto *Kind = Service->findKind(Spec.Kind_);
-  if (Kind == nullptr)
-    return negative(Outcome::Failed, Reason::UnknownKind,
-                    "no kind " + Spec.Kind_);
-  const auto *Team = View->Config_->findTeam(Spec.Team_);
-  if (Team == nullptr)
-    return negative(Outcome::Failed, Reason::UnknownTeam,
-                    "no team " + Spec.Team_);
-  if (Kind->QueueLimit_ == 0 || Team->MaxTasksInFlight_ == 0)
-    return negative(Outcome::Failed, Reason::LimitIsZero,
-                    "the kind or the team is closed");
-  if (Spec.Timeout_ > Kind->MaxTimeout_)
-    return negative(Outcome::Failed, Reason::TimeoutTooLong,
-                    "the kind allows " +
-                        std::to_string(Kind->MaxTimeout_.count()) + " ms");
-  if (Spec.Tasks_.size() > Kind->MaxTasksPerJob_)
-    return negative(Outcome::Failed, Reason::TooManyTasks,
-                    "the kind allows " + std::to_string(Kind->MaxTasksPerJob_) +
-                        " tasks");
-  return std::nullopt;
-}
-
 void Home::decide(JobRecord &Record) {
-  if (auto Old = checkAge(Record.Spec_))
+  if (auto Old = checkAge(Record.Spec_, Context_.WallMs_(),
+                          retention(*Context_.View_())))
     return end(Record, std::move(*Old));
   Record.State_ = JobState::Preparing;
   if (!Record.Refusal_ && !Record.Admitted_)
@@ -269,7 +186,8 @@
 }
 
 void Home::admit(JobRecord &Record) {
-  Record.Refusal_ = checkAgainstConfig(Record.Spec_);
+  Record.Refusal_ =
+      checkAgainstConfig(Record.Spec_, *Context_.View_()->Config_);
   if (!Record.Refusal_) {
     markNonIdempotent(Record.Spec_, *Context_.View_()->Config_);
     const Reason Why = Policy_.admit(Record);
@@ -284,7 +202,7 @@
   const version::HolderPair Pair = currentPair(Record.Spec_.Key_, View);
   // Only the home of the epoch in force may ask for a copy.
   if (!sameHolder(Pair.Home_, Context_.Self_))
-    return sendAway(Record, stateOnly("retry"));
+    return sendAway(Record, stateReply("retry"));
   // Another home may have run the job under an epoch in between.
   if (Record.SettledEpoch_ != View->Map_->Epoch_)
     return settle(Record);
@@ -350,7 +268,7 @@
               request::findName(request::OutcomeNames, Answer.Outcome_),
               request::findName(request::ReasonNames, Answer.Reason_));
   Jobs_.finalize(Record, std::move(Answer), retention(*Context_.View_()));
-  notify(Record, finalState(Record.Answer_));
+  notify(Record, finalReply(Record.Answer_));
   Record.ReplyTo_.clear();
   if (!Recorded && !Record.CopyAddress_.empty())
     finishCopy(Record);
@@ -411,13 +329,13 @@
 
 Json::Value Home::status(const Json::Value &Params) {
   const JobRecord *Record = Jobs_.find(readJobKey(Params));
-  return Record == nullptr ? stateOnly("unknown") : describe(*Record);
+  return Record == nullptr ? stateReply("unknown") : describe(*Record);
 }
 
 Json::Value Home::cancel(const Json::Value &Params) {
   JobRecord *Record = Jobs_.find(readJobKey(Params));
   if (Record == nullptr)
-    return stateOnly("unknown");
+    return stateReply("unknown");
   if (Record->State_ != JobState::Final)
     end(*Record, negative(Outcome::Failed, Reason::Cancelled,
                           "cancelled by the caller"));
@@ -435,7 +353,7 @@
     const JobKey Key = readJobKey(Item);
     // After stopped_at_ms this process must not let a job start.
     if (Leaving_ && Copies_.find(Key) == nullptr)
-      return stateOnly("retry");
+      return stateReply("retry");
     const PrepareResult Result = Copies_.prepare(
         Key, readUnsigned(Item, "fingerprint"), From,
         readUnsigned(Item, "epoch"), currentEpoch(*View), retention(*View));
@@ -443,11 +361,10 @@
     if (Result == PrepareResult::Ok && Item.isMember("answer"))
       Copies_.finish(Key, From, request::decodeAnswer(Item["answer"], Why),
                      retention(*View));
-    Json::Value Reply = stateOnly(
-        std::string(request::findName(request::PrepareResultNames, Result))
-            .c_str());
+    Json::Value Reply = stateReply(
+        std::string(request::findName(request::PrepareResultNames, Result)));
     if (Result == PrepareResult::Known)
-      Reply["copy"] = describeCopy(*Copies_.find(Key));
+      Reply["copy"] = copyReply(*Copies_.find(Key));
     return Reply;
   });
 }
@@ -486,17 +403,17 @@
     return Reply;
   }
   if (const request::RecordCopy *Copy = Copies_.find(Key))
-    return describeCopy(*Copy);
+    return copyReply(*Copy);
   const request::Duration Retention = retention(*Context_.View_());
   request::CodecFault Why;
   if (Params.isMember("refusal"))
     if (auto Refusal = request::decodeAnswer(Params["refusal"], Why)) {
       Copies_.refuse(Key, readUnsigned(Params, "fingerprint"), Context_.Self_,
                      std::move(*Refusal), Retention);
-      return describeCopy(*Copies_.find(Key));
+      return copyReply(*Copies_.find(Key));
     }
   Copies_.seal(Key, Epoch, Retention);
-  return stateOnly("sealed");
+  return stateReply("sealed");
 }
 
 } // namespace wigeonwall::process
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -1,5 +1,6 @@
 #include "wigeonwall/process/minion_gateway.h"
 
+#include "wigeonwall/process/replies.h"
 #include "wigeonwall/request/codec.h"
 
 #include <algorithm>
@@ -34,19 +35,6 @@
          std::min(Delay, (Task.Deadline_ - Task.QueuedAt_) / 2);
 }
 
-Json::Value queued() {
-  Json::Value Reply;
-  Reply["state"] = "queued";
-  return Reply;
-}
-
-Json::Value refused(Reason Why) {
-  Json::Value Reply;
-  Reply["state"] = "refused";
-  Reply["reason"] = std::string(request::findName(request::ReasonNames, Why));
-  return Reply;
-}
-
 TaskResult notStarted(TaskIndex Task, Reason Why) {
   TaskResult Result;
   Result.Index_ = Task;
@@ -113,14 +101,14 @@
   switch (Gate_.admit(Task.Job_, Task.Task_,
                       {Home.Id_, Home.Incarnation_, Epoch, Task.Attempt_})) {
   case GateResult::Repeat:
-    return queued();
+    return stateReply("queued");
   case GateResult::Refused:
-    return refused(Reason::Retry);
+    return refusedReply(Reason::Retry);
   case GateResult::Duplicate:
     Metrics_.Duplicates_.fetch_add(1);
-    return refused(Reason::Duplicate);
+    return refusedReply(Reason::Duplicate);
   case GateResult::StaleEpoch:
-    return refused(Reason::StaleEpoch);
+    return refusedReply(Reason::StaleEpoch);
   case GateResult::Admit:
     break;
   }
@@ -131,11 +119,11 @@
           : enqueue(Ticket, Task, Item.get("ejection_known", false).asBool());
   if (Why != Reason::None) {
     Gate_.refuse(Task.Job_, Task.Task_);
-    return refused(Why);
+    return refusedReply(Why);
   }
   Task.Trace_.queued(Context_.Trace_, Task.Job_, Task.Task_, Item["trace"]);
   Queued_.emplace(Ticket, std::move(Task));
-  return queued();
+  return stateReply("queued");
 }
 
 request::AgentLoad MinionGateway::load() {
--- a/packages/request/include/wigeonwall/request/types.h
+++ b/packages/request/include/wigeonwall/request/types.h
@@ -90,7 +90,6 @@
   DeadlineUnreachable,
   NoMinion,
   HomeUnavailable,
-  CopyUnavailable,
   Draining,
   NotReady,
   // Failures.
@@ -106,7 +105,7 @@
   Duplicate,
 };
 
-inline constexpr std::array<EnumName<Reason>, 25> ReasonNames{{
+inline constexpr std::array<EnumName<Reason>, 24> ReasonNames{{
     {Reason::None, "none"},
     {Reason::UnknownService, "unknown_service"},
     {Reason::UnknownKind, "unknown_kind"},
@@ -120,7 +119,6 @@
     {Reason::DeadlineUnreachable, "deadline_unreachable"},
     {Reason::NoMinion, "no_minion"},
     {Reason::HomeUnavailable, "home_unavailable"},
-    {Reason::CopyUnavailable, "copy_unavailable"},
     {Reason::Draining, "draining"},
     {Reason::NotReady, "not_ready"},
     {Reason::DeadlineExceeded, "deadline_exceeded"},
