Pass the state of a reply by reference

Cause: the linter found a move into a const reference in replies.cpp. Change: the state is passed by reference. Conclusion: behaviour unchanged.

--- a/packages/process/include/wigeonwall/process/replies.h
+++ b/packages/process/include/wigeonwall/process/replies.h
@@ -15,7 +15,7 @@
 negative(request::Outcome Kind, request::Reason Why, std::string Detail);
 
 /// \brief `{"state": STATE}`.
-[[nodiscard]] Json::Value stateReply(std::string State);
+[[nodiscard]] Json::Value stateReply(const std::string &State);
 /// \brief `{"state": "refused", "reason": REASON}`.
 [[nodiscard]] Json::Value refusedReply(request::Reason Why);
 /// \brief `{"state": "final", "answer": {...}}`.
--- a/packages/process/src/replies.cpp
+++ b/packages/process/src/replies.cpp
@@ -14,9 +14,9 @@
   return Answer;
 }
 
-Json::Value stateReply(std::string State) {
+Json::Value stateReply(const std::string &State) {
   Json::Value Reply;
-  Reply["state"] = std::move(State);
+  Reply["state"] = State;
   return Reply;
 }
 
