Leave the largest job of a kind out of its share at a home

Cause: in a flood of another kind 3 of 52 stake layouts were refused as overloaded although their kind was far below its share of the service. Each home checks its own eleventh, and one job of many tasks exceeds that alone. Ruled out: queues, since all admitted jobs completed and p99 did not grow. Change: the largest job since the kind was last idle is not counted.

--- a/packages/request/include/wigeonwall/request/admission.h
+++ b/packages/request/include/wigeonwall/request/admission.h
@@ -78,6 +78,8 @@
   double Share_ = 0.0;
   unsigned TasksInFlight_ = 0;
   Duration WorkInFlight_{0};
+  /// Largest job admitted since the kind had no task in flight.
+  Duration LargestJob_{0};
   /// Mean of the measured queue delays; nothing before the first.
   std::optional<Duration> QueueDelay_;
   TimePoint QueueDelayAt_;
@@ -110,7 +112,7 @@
 
   /// Without \p Load the service counts as busy, so that only the work at this
   /// home decides. It is then at most LendingLimit plus ShareLimit per slot,
-  /// plus one job for each kind.
+  /// plus two jobs for each kind.
   AdmissionController(AdmissionPolicy Policy, ServiceCapacity Capacity,
                       const std::vector<KindPolicy> &Kinds,
                       const std::vector<TeamQuota> &Teams, Clock Now,
--- a/packages/request/src/admission.cpp
+++ b/packages/request/src/admission.cpp
@@ -57,7 +57,12 @@
       std::chrono::duration<double, std::nano>(
           homePart(ShareLimit, View.Capacity_)) *
       View.Kind_.Share_);
-  if (View.Kind_.WorkInFlight_ < Share ||
+  // A job of many tasks can exceed the part of one home by itself although the
+  // kind is far below its share of the service, so the largest one is left out.
+  const Duration BesideLargest =
+      View.Kind_.WorkInFlight_ -
+      std::min(View.Kind_.LargestJob_, View.Kind_.WorkInFlight_);
+  if (BesideLargest < Share ||
       View.TotalWork_ < homePart(LendingLimit, View.Capacity_) ||
       View.QueuesAreShort_)
     return Reason::None;
@@ -96,6 +101,7 @@
   const Duration Work = workOf(Request.Tasks_, Request.Work_);
   Kind.TasksInFlight_ += Request.Tasks_;
   Kind.WorkInFlight_ += Work;
+  Kind.LargestJob_ = std::max(Kind.LargestJob_, Work);
   TotalWork_ += Work;
   Teams_[Request.Team_].TasksInFlight_ += Request.Tasks_;
   return Reason::None;
@@ -128,6 +134,8 @@
             ? Kind.WorkInFlight_
             : std::min(Kind.WorkInFlight_, workOf(Tasks, Work));
     Kind.WorkInFlight_ -= Freed;
+    if (Kind.TasksInFlight_ == 0)
+      Kind.LargestJob_ = Duration::zero();
     TotalWork_ -= Freed;
     if (Kind.Removed_ && Kind.TasksInFlight_ == 0)
       Kinds_.erase(Found);
