Keep the view alive while a result's home is looked up

Cause: ThreadSanitizer reported that the gateway read a member of a view that the control thread had freed: the pointer outlived the temporary shared_ptr. Change: the view is held for the look-up; the other uses were read and end with their expression.

--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -244,7 +244,9 @@
 void MinionGateway::deliver(const request::HomeIdentity &Home,
                             const Json::Value &Item) {
   Results_.add(Home.Address_, Item, [this, Home, Item](const ItemReply &Reply) {
-    const Member *Found = Context_.View_()->findMember(Home.Id_);
+    // Keeps the members alive while one of them is looked at.
+    const auto View = Context_.View_();
+    const Member *Found = View->findMember(Home.Id_);
     const bool HomeGone = Found == nullptr ||
                           Found->Incarnation_ != Home.Incarnation_ ||
                           Found->State_ == MemberState::Dead ||
