Let one definition serve the clock tolerance, the keys and a lost home

Cause: reading the whole change again. Change: each has one definition; the fingerprint is computed once. Figures: 34 unit tests pass; the linter is clean on the changed sources. The integration tests and the whole linter run were not repeated. Conclusion: behaviour unchanged.

--- a/packages/process/include/wigeonwall/process/agent_context.h
+++ b/packages/process/include/wigeonwall/process/agent_context.h
@@ -30,6 +30,15 @@
 /// \brief Time-out of a call between processes.
 inline constexpr std::chrono::milliseconds CallTimeout{1'000};
 
+/// \brief Largest difference between two clocks of the platform, and the time
+/// by which a caller's clock may be ahead. Proofs that a job was created after
+/// an event rest on entries refusing jobs beyond it.
+inline constexpr std::int64_t ClockToleranceMs = 5'000;
+
+/// \brief Whether the incarnation of \p Home is neither dead nor gone.
+[[nodiscard]] bool isAlive(const request::HomeIdentity &Home,
+                           const ClusterView &View);
+
 /// \brief Record retention of the configuration in force.
 [[nodiscard]] request::Duration retention(const ClusterView &View);
 
--- a/packages/process/include/wigeonwall/process/config_writer.h
+++ b/packages/process/include/wigeonwall/process/config_writer.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/connection/asio.h"
 #include "wigeonwall/connection/key_value_store.h"
+#include "wigeonwall/process/store_keys.h"
 
 #include "wigeonwall/request/enum_names.h"
 #include "wigeonwall/version/config_codec.h"
@@ -19,9 +20,6 @@
 
 namespace wigeonwall::process {
 
-/// \brief Key of the stored configuration (version::StoredConfig).
-inline constexpr char ConfigKey[] = "wigeonwall/config";
-
 /// \brief How an edit ended.
 enum class ConfigWriteOutcome : std::uint8_t {
   /// The edit took effect, perhaps with later edits on top of it.
--- a/packages/process/include/wigeonwall/process/document_watcher.h
+++ b/packages/process/include/wigeonwall/process/document_watcher.h
@@ -6,6 +6,7 @@
 #include "wigeonwall/connection/key_value_store.h"
 #include "wigeonwall/process/alive_token.h"
 #include "wigeonwall/process/cluster_view.h"
+#include "wigeonwall/process/store_keys.h"
 #include "wigeonwall/request/clock.h"
 
 #include <json/json.h>
@@ -17,9 +18,6 @@
 
 namespace wigeonwall::process {
 
-inline constexpr const char *ConfigKey = "wigeonwall/config";
-inline constexpr const char *MapKey = "wigeonwall/map";
-
 /// \brief True when \p Own watches the key-value service for its failure
 /// domain: it has the lowest id of the alive agents there, or of the alive
 /// entries when there is no alive agent.
--- a/packages/process/include/wigeonwall/process/home.h
+++ b/packages/process/include/wigeonwall/process/home.h
@@ -49,6 +49,7 @@
   [[nodiscard]] Json::Value sealJob(const Json::Value &Params);
   [[nodiscard]] Json::Value refuseSubmission(request::Reason Why);
   [[nodiscard]] Json::Value accept(request::JobSpec Spec,
+                                   std::uint64_t Fingerprint,
                                    const std::string &ReplyTo,
                                    const Json::Value &TraceParent);
   [[nodiscard]] Json::Value describe(const request::JobRecord &Record) const;
--- a/packages/process/src/agent_context.cpp
+++ b/packages/process/src/agent_context.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds DefaultRetention{600};
-
 std::string readText(const Json::Value &Value, const char *Field) {
   if (!Value.isObject() || !Value[Field].isString())
     throw connection::RpcFault{std::string("/") + Field +
@@ -15,9 +13,16 @@
 
 } // namespace
 
+bool isAlive(const request::HomeIdentity &Home, const ClusterView &View) {
+  const Member *Found = View.findMember(Home.Id_);
+  return Found != nullptr && Found->Incarnation_ == Home.Incarnation_ &&
+         Found->State_ != MemberState::Dead &&
+         Found->State_ != MemberState::Left;
+}
+
 request::Duration retention(const ClusterView &View) {
   if (!View.Config_)
-    return DefaultRetention;
+    return version::LimitsConfig{}.RecordRetention_;
   return View.Config_->Limits_.RecordRetention_;
 }
 
--- a/packages/process/src/caller_api.cpp
+++ b/packages/process/src/caller_api.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-/// Clocks of callers may be ahead by this much.
-constexpr std::int64_t ClockToleranceMs = 5'000;
 constexpr std::int64_t MaxWaitMs = 600'000;
 constexpr std::size_t MaxJobsPerBatch = 100;
 constexpr std::string_view JobsTarget = "/v1/jobs";
--- a/packages/process/src/earlier_holders.cpp
+++ b/packages/process/src/earlier_holders.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Largest difference between two clocks of the platform or a caller's.
-constexpr std::int64_t ClockToleranceMs = 5'000;
 constexpr unsigned MaxAttempts = 2;
 constexpr std::chrono::milliseconds AttemptInterval{100};
 
@@ -23,13 +21,6 @@
          CreatedAtMs > Agent->StoppedAtMs_ + ClockToleranceMs;
 }
 
-bool isAlive(const HomeIdentity &Home, const ClusterView &View) {
-  const Member *Found = View.findMember(Home.Id_);
-  return Found != nullptr && Found->Incarnation_ == Home.Incarnation_ &&
-         Found->State_ != MemberState::Dead &&
-         Found->State_ != MemberState::Left;
-}
-
 } // namespace
 
 struct EarlierHolders::Inquiry {
--- a/packages/process/src/home.cpp
+++ b/packages/process/src/home.cpp
@@ -79,8 +79,9 @@
   const std::uint64_t Epoch = readUnsigned(Params, "epoch");
   const std::string ReplyTo = Params["reply_to"].asString();
   // A known job is joined under any epoch.
+  const std::uint64_t Fingerprint = request::fingerprint(*Spec);
   if (JobRecord *Record = Jobs_.find(Spec->Key_)) {
-    if (Record->Fingerprint_ != request::fingerprint(*Spec))
+    if (Record->Fingerprint_ != Fingerprint)
       return refusedReply(Reason::Conflict);
     if (Record->State_ != JobState::Final)
       Record->ReplyTo_.insert(ReplyTo);
@@ -99,17 +100,17 @@
   // Without room for a record there can be no final answer either.
   if (Jobs_.size() >= View->Config_->Limits_.MaxRecords_)
     return refuseSubmission(Reason::Overloaded);
-  return accept(std::move(*Spec), ReplyTo, Params["trace"]);
+  return accept(std::move(*Spec), Fingerprint, ReplyTo, Params["trace"]);
 }
 
-Json::Value Home::accept(JobSpec Spec, const std::string &ReplyTo,
+Json::Value Home::accept(JobSpec Spec, std::uint64_t Fingerprint,
+                         const std::string &ReplyTo,
                          const Json::Value &TraceParent) {
   // This process may hold the copy of a record whose home is gone.
   if (const request::RecordCopy *Copy = Copies_.find(Spec.Key_)) {
-    if (Copy->Fingerprint_ != request::fingerprint(Spec))
+    if (Copy->Fingerprint_ != Fingerprint)
       return refusedReply(Reason::Conflict);
   }
-  const std::uint64_t Fingerprint = request::fingerprint(Spec);
   JobRecord &Record = Jobs_.create(std::move(Spec), Fingerprint);
   Record.ReplyTo_.insert(ReplyTo);
   Traces_.begin(Record.Spec_.Key_, TraceParent);
--- a/packages/process/src/minion_gateway.cpp
+++ b/packages/process/src/minion_gateway.cpp
@@ -244,13 +244,7 @@
 void MinionGateway::deliver(const request::HomeIdentity &Home,
                             const Json::Value &Item) {
   Results_.add(Home.Address_, Item, [this, Home, Item](const ItemReply &Reply) {
-    // Keeps the members alive while one of them is looked at.
-    const auto View = Context_.View_();
-    const Member *Found = View->findMember(Home.Id_);
-    const bool HomeGone = Found == nullptr ||
-                          Found->Incarnation_ != Home.Incarnation_ ||
-                          Found->State_ == MemberState::Dead ||
-                          Found->State_ == MemberState::Left;
+    const bool HomeGone = !isAlive(Home, *Context_.View_());
     // A malformed-message error would repeat for ever.
     if (Reply.ok() || Reply.Refused_ || HomeGone) {
       --Undelivered_;
