Run best-effort jobs on the users' platform: the thin path

Cause: the users want wigeonwall on their platform. An entry takes jobs, places their tasks by predicted end, and orders them from agents over one session each; an agent guards the capacity of its minion, and entries find agents in the platform's store.

Before: nothing ran there.

--- a/apps/wigeonwall/main.cpp
+++ b/apps/wigeonwall/main.cpp
@@ -1,11 +1,13 @@
 /// \file
 /// \brief The process of the system; its role comes from its settings.
+#include "platform/processes.h"
 #include "wigeonwall/process/log.h"
 #include "wigeonwall/process/process_host.h"
 
 #include <docopt/docopt.h>
 
 #include <iostream>
+#include <map>
 
 namespace {
 
@@ -14,39 +16,76 @@
 Usage:
   wigeonwall --settings=FILE
   wigeonwall --check-settings=FILE
+  wigeonwall --platform --settings=FILE
+  wigeonwall --platform --check-settings=FILE
   wigeonwall --help
 
 Options:
   --settings=FILE        Run the role that the INI file describes.
   --check-settings=FILE  Check the file and exit.
+  --platform             Run the role on the users' platform; the file has the
+                         form of deploy/entry.ini or deploy/agent.ini.
 
-Signals: SIGTERM and SIGINT begin a planned stop.
+Signals: SIGTERM and SIGINT begin a planned stop; with --platform, SIGHUP
+checks the settings file again.
 
 Exit codes: 0 planned stop with all work finished, 1 start failed or the
 planned stop ran out of time, 2 bad usage or settings.
 )";
 
-} // namespace
+using namespace wigeonwall;
 
-int main(int Argc, char **Argv) {
-  using namespace wigeonwall::process;
-  const auto Arguments = docopt::docopt(Usage, {Argv + 1, Argv + Argc});
-  const bool CheckOnly = bool(Arguments.at("--check-settings"));
-  const std::string File =
-      Arguments.at(CheckOnly ? "--check-settings" : "--settings").asString();
-  SettingsFault Why;
-  const auto Options = loadSettings(File, Why);
-  if (!Options) {
-    std::cerr << "wigeonwall: " << describe(Why) << "\n";
-    return static_cast<int>(ExitCode::Usage);
+int reportBadSettings(const process::SettingsFault &Why) {
+  std::cerr << "wigeonwall: " << describe(Why) << "\n";
+  return static_cast<int>(process::ExitCode::Usage);
+}
+
+int runOnPlatform(const std::string &File, bool CheckOnly) {
+  process::SettingsFault Why;
+  const auto Options = process::dispatch::loadDispatchSettings(File, Why);
+  if (!Options)
+    return reportBadSettings(Why);
+  if (CheckOnly) {
+    std::cout << File << ": ok\n";
+    return static_cast<int>(process::ExitCode::Done);
   }
+  process::startStandardOutputLog(Options->Id_);
+  return static_cast<int>(platform::runProcess(*Options, File));
+}
+
+int runOwn(const std::string &File, bool CheckOnly) {
+  process::SettingsFault Why;
+  const auto Options = process::loadSettings(File, Why);
+  if (!Options)
+    return reportBadSettings(Why);
   if (CheckOnly) {
     std::cout << File << ": ok\n";
-    return static_cast<int>(ExitCode::Done);
+    return static_cast<int>(process::ExitCode::Done);
   }
-  if (!startLog(Options->Id_, Options->LogFile_))
+  if (!process::startLog(Options->Id_, Options->LogFile_))
     std::cerr << "wigeonwall: cannot write " << Options->LogFile_
               << "; logging to stderr\n";
-  ProcessHost Host(*Options);
+  process::ProcessHost Host(*Options);
   return static_cast<int>(Host.run());
 }
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  // docopt::docopt() would exit with -1 for bad usage.
+  std::map<std::string, docopt::value> Arguments;
+  try {
+    Arguments = docopt::docopt_parse(Usage, {Argv + 1, Argv + Argc}, true);
+  } catch (const docopt::DocoptExitHelp &) {
+    std::cout << Usage;
+    return static_cast<int>(process::ExitCode::Done);
+  } catch (const docopt::DocoptArgumentError &Error) {
+    std::cerr << "wigeonwall: " << Error.what() << "\n" << Usage;
+    return static_cast<int>(process::ExitCode::Usage);
+  }
+  const bool CheckOnly = bool(Arguments.at("--check-settings"));
+  const std::string File =
+      Arguments.at(CheckOnly ? "--check-settings" : "--settings").asString();
+  return Arguments.at("--platform").asBool() ? runOnPlatform(File, CheckOnly)
+                                             : runOwn(File, CheckOnly);
+}
--- a/packages/connection/include/wigeonwall/connection/http_message.h
+++ b/packages/connection/include/wigeonwall/connection/http_message.h
@@ -3,6 +3,7 @@
 #ifndef WIGEONWALL_CONNECTION_HTTP_MESSAGE_H
 #define WIGEONWALL_CONNECTION_HTTP_MESSAGE_H
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +20,9 @@
   /// Names in lower case.
   std::vector<HttpHeader> Headers_;
   std::string Body_;
+  /// Set by the server: registers a function that is called if the peer
+  /// closes the connection before the response, at once if it has.
+  std::function<void(std::function<void()>)> WatchPeer_;
 };
 
 struct HttpResponse {
--- /dev/null
+++ b/packages/connection/include/wigeonwall/connection/lease_store.h
@@ -0,0 +1,72 @@
+/// \file
+/// \brief A key-value service with leases and watches of prefixes.
+#ifndef WIGEONWALL_CONNECTION_LEASE_STORE_H
+#define WIGEONWALL_CONNECTION_LEASE_STORE_H
+
+#include "wigeonwall/connection/key_value_store.h"
+
+#include <vector>
+
+namespace wigeonwall::connection {
+
+/// \brief A key and its value at a revision.
+struct StoredItem {
+  std::string Key_;
+  std::string Value_;
+  std::uint64_t Revision_ = 0;
+};
+
+/// \brief All keys of a prefix.
+struct StoreListing {
+  std::vector<StoredItem> Items_;
+  /// Watch from here on for later changes.
+  std::uint64_t Revision_ = 0;
+};
+
+struct StoreChange {
+  StoredItem Item_;
+  bool Deleted_ = false;
+};
+
+/// \brief Changes after a revision, in order.
+struct StoreChanges {
+  std::vector<StoreChange> Changes_;
+  std::uint64_t Revision_ = 0;
+  /// The service has dropped the changes asked for; list the prefix again.
+  bool HistoryLost_ = false;
+};
+
+/// \brief What became of a lease or of a key that depends on it.
+enum class LeaseState : std::uint8_t { Held, Ended };
+
+/// \brief Asynchronous interface; each callback is called once, later. An empty
+/// optional comes with a fault, and means that a write may have taken effect
+/// unless the fault is NotSent or Refused.
+class LeaseStore {
+public:
+  template <typename Value>
+  using Callback = std::function<void(std::optional<Value>, StoreFault)>;
+
+  virtual ~LeaseStore() = default;
+
+  virtual void list(const std::string &Prefix, Callback<StoreListing> Done) = 0;
+  /// \brief Waits up to \p Wait for changes after \p Revision.
+  virtual void watch(const std::string &Prefix, std::uint64_t Revision,
+                     std::chrono::milliseconds Wait,
+                     Callback<StoreChanges> Done) = 0;
+  /// \brief Returns the id of a new lease.
+  virtual void grantLease(std::chrono::milliseconds TimeToLive,
+                          Callback<std::string> Done) = 0;
+  virtual void renewLease(const std::string &Lease,
+                          Callback<LeaseState> Done) = 0;
+  virtual void endLease(const std::string &Lease,
+                        Callback<LeaseState> Done) = 0;
+  /// \brief Writes a key that is removed with the lease.
+  virtual void putLeased(const std::string &Key, const std::string &Value,
+                         const std::string &Lease,
+                         Callback<LeaseState> Done) = 0;
+};
+
+} // namespace wigeonwall::connection
+
+#endif
--- /dev/null
+++ b/packages/connection/include/wigeonwall/connection/peer_link.h
@@ -0,0 +1,78 @@
+/// \file
+/// \brief One TCP connection between processes, a JSON message a line.
+///
+/// libjsonrpccpp answers calls over HTTP one at a time; runs are ordered and
+/// end at any moment in both directions, so these connections carry JSON-RPC
+/// notifications instead.
+#ifndef WIGEONWALL_CONNECTION_PEER_LINK_H
+#define WIGEONWALL_CONNECTION_PEER_LINK_H
+
+#include "wigeonwall/connection/asio.h"
+#include "wigeonwall/connection/endpoint.h"
+#include "wigeonwall/connection/peer_session.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wigeonwall::connection {
+
+/// \brief Sends and receives lines; all work runs on one event loop.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+  struct Hooks {
+    /// Set for links that connect; called once the peer has accepted.
+    std::function<void()> OnConnected_;
+    std::function<void(PeerMessage)> OnMessage_;
+    /// Called once, unless close() was called before.
+    std::function<void(const std::string &Why)> OnClosed_;
+  };
+
+  explicit PeerLink(asio::io_context &Context) : Socket_(Context) {}
+  explicit PeerLink(asio::ip::tcp::socket Socket)
+      : Socket_(std::move(Socket)) {}
+
+  void connect(const Endpoint &Peer, Hooks Use);
+  /// \brief Serves an accepted connection.
+  void start(Hooks Use);
+  /// \brief Queues a line; the lines of one turn of the loop go out together.
+  void send(const std::string &Line);
+  void close();
+  [[nodiscard]] bool isOpen() const noexcept { return Open_; }
+
+private:
+  void begin();
+  void read();
+  void handleLines();
+  void flush();
+  void fail(const std::string &Why);
+
+  asio::ip::tcp::socket Socket_;
+  Hooks Hooks_;
+  std::string Input_;
+  std::string Outgoing_;
+  std::string Writing_;
+  bool Open_ = false;
+  bool FlushPosted_ = false;
+};
+
+/// \brief Accepts connections of peers.
+class PeerListener {
+public:
+  PeerListener(asio::io_context &Context, Endpoint Address,
+               std::function<void(std::shared_ptr<PeerLink>)> OnAccept);
+  [[nodiscard]] bool listen();
+  void close();
+
+private:
+  void accept();
+
+  Endpoint Address_;
+  asio::ip::tcp::acceptor Acceptor_;
+  asio::steady_timer RetryDelay_;
+  std::function<void(std::shared_ptr<PeerLink>)> OnAccept_;
+};
+
+} // namespace wigeonwall::connection
+
+#endif
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -122,12 +122,37 @@
       return close();
     // The response may take as long as the job runs.
     Stream_.expires_never();
+    Request.WatchPeer_ = [Weak = this->weak_from_this()](auto OnClosed) {
+      if (const auto Self = Weak.lock())
+        Self->watchPeer(std::move(OnClosed));
+    };
     Server_->Handler_(std::move(Request),
                       [Self = this->shared_from_this()](HttpResponse Response) {
                         Self->write(std::move(Response));
                       });
   }
 
+  void watchPeer(std::function<void()> OnClosed) {
+    if (peerClosed())
+      return OnClosed();
+    OnPeerClosed_ = std::move(OnClosed);
+    Stream_.socket().async_wait(
+        Tcp::socket::wait_read, [Self = this->shared_from_this()](auto Error) {
+          if (!Error && Self->OnPeerClosed_ && Self->peerClosed())
+            std::exchange(Self->OnPeerClosed_, nullptr)();
+        });
+  }
+
+  /// False when the peer has sent its next request early.
+  [[nodiscard]] bool peerClosed() {
+    char Byte = 0;
+    beast::error_code Error;
+    Stream_.socket().non_blocking(true, Error);
+    const std::size_t Size = Stream_.socket().receive(
+        asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
+    return Error != asio::error::would_block && Size == 0;
+  }
+
   void refuse(int Status, std::string Message) {
     KeepAlive_ = false;
     HttpResponse Response;
@@ -138,6 +163,7 @@
   }
 
   void write(HttpResponse Response) {
+    OnPeerClosed_ = nullptr;
     Message_.emplace(static_cast<http::status>(Response.Status_), Version_);
     for (const auto &[Name, Value] : Response.Headers_)
       Message_->set(Name, Value);
@@ -182,6 +208,7 @@
   beast::flat_buffer Buffer_;
   std::optional<http::request_parser<http::string_body>> Parser_;
   std::optional<http::response<http::string_body>> Message_;
+  std::function<void()> OnPeerClosed_;
   unsigned Version_ = 11;
   bool KeepAlive_ = false;
 };
--- /dev/null
+++ b/packages/process/include/wigeonwall/process/dispatch/messages.h
@@ -0,0 +1,69 @@
+/// \file
+/// \brief Messages between entries and agents about runs, and their codec.
+#ifndef WIGEONWALL_PROCESS_DISPATCH_MESSAGES_H
+#define WIGEONWALL_PROCESS_DISPATCH_MESSAGES_H
+
+#include "wigeonwall/request/agent_report.h"
+#include "wigeonwall/request/fault.h"
+#include "wigeonwall/request/run.h"
+
+#include <json/value.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wigeonwall::process::dispatch {
+
+/// \brief One task of an order.
+struct OrderedTask {
+  std::uint32_t Index_ = 0;
+  /// Number that the run gets unless the minion knows a higher one.
+  std::int64_t Number_ = 1;
+};
+
+/// \brief An entry asks an agent to run tasks of a job.
+struct RunOrder {
+  std::string Job_;
+  std::string Service_;
+  std::string Payload_;
+  request::Resources Needs_;
+  /// Run time on a nominal minion at the place of this one.
+  request::Duration Expected_{};
+  /// Time left until a task must have ended for its job to be on time.
+  request::Duration OnTimeIn_{};
+  /// Time left until an end is of no use to the caller.
+  request::Duration UsefulIn_{};
+  /// Tasks that cannot start on time are handed back for another place.
+  bool MayMove_ = true;
+  std::vector<OrderedTask> Tasks_;
+};
+
+/// \brief An agent reports what became of a task.
+struct RunOutcome {
+  std::string Job_;
+  std::uint32_t Index_ = 0;
+  request::RunEnd End_ = request::RunEnd::Lost;
+  /// Number of the run; 0 when no start was sent.
+  std::int64_t Number_ = 0;
+  /// Why the agent ended or declined it; empty for an end of its own.
+  std::string Reason_;
+};
+
+/// \brief Errors of a message from a peer.
+enum class MessageError : std::uint8_t { None, Malformed };
+using MessageFault = request::Fault<MessageError>;
+
+[[nodiscard]] Json::Value encodeOrder(const RunOrder &Order);
+[[nodiscard]] std::optional<RunOrder> decodeOrder(const Json::Value &Value,
+                                                  MessageFault &Why);
+[[nodiscard]] Json::Value encodeOutcome(const RunOutcome &Outcome);
+[[nodiscard]] std::optional<RunOutcome> decodeOutcome(const Json::Value &Value,
+                                                      MessageFault &Why);
+[[nodiscard]] Json::Value encodeReport(const request::AgentReport &Report);
+[[nodiscard]] std::optional<request::AgentReport>
+decodeReport(const Json::Value &Value, MessageFault &Why);
+
+} // namespace wigeonwall::process::dispatch
+
+#endif
--- a/packages/process/include/wigeonwall/process/log.h
+++ b/packages/process/include/wigeonwall/process/log.h
@@ -37,6 +37,20 @@
                             const std::string &File,
                             LogLevel Least = LogLevel::Info);
 
+/// \brief Sends log lines to standard output without ever blocking on it.
+///
+/// At most MaxLogLinesPerSecond lines are written; a later line counts those
+/// that were dropped, for lack of rate or because nobody reads.
+void startStandardOutputLog(const std::string &ProcessId);
+
+/// A tenth of a frontend's processor at about 50 us a line.
+inline constexpr int MaxLogLinesPerSecond = 400;
+
+/// \brief Writes one line about \p Subject, a request, run or process;
+/// \p Detail holds further fields that are formatted already.
+void logDecision(std::string_view Component, std::string_view Event,
+                 std::string_view Subject, std::string_view Detail);
+
 /// \brief Writes one line; safe from any thread.
 /// \code
 /// logEvent("membership", "member_dead", {{"member", Id}, {"epoch", 7}});
--- a/packages/process/include/wigeonwall/process/settings.h
+++ b/packages/process/include/wigeonwall/process/settings.h
@@ -110,6 +110,10 @@
                                                     const std::string &File,
                                                     SettingsFault &Why);
 
+/// \brief Text of a settings file.
+[[nodiscard]] std::optional<std::string>
+readSettingsFile(const std::string &Path, SettingsFault &Why);
+
 /// \brief Writes "FILE:LINE: [section] key: what is wrong".
 [[nodiscard]] std::string describe(const SettingsFault &Why);
 
--- /dev/null
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -0,0 +1,160 @@
+#include "wigeonwall/process/dispatch/owner_links.h"
+
+#include "wigeonwall/request/codec.h"
+
+namespace wigeonwall::process::dispatch {
+
+using request::Duration;
+using request::TimePoint;
+
+namespace {
+
+/// Least time between reports to the same entry. Half of the shortest slack
+/// of a 60 ms task is used up by waiting anyway; reports this old still tell
+/// free minions from busy ones.
+constexpr Duration ReportPeriod = std::chrono::milliseconds(15);
+
+} // namespace
+
+OwnerLinks::OwnerLinks(connection::asio::io_context &Context,
+                       connection::Endpoint Address, LinkTiming Timing,
+                       OwnerLinksHooks Hooks)
+    : Timing_(Timing), Hooks_(std::move(Hooks)),
+      Listener_(Context, std::move(Address),
+                [this](const Link &Accepted) { onAccept(Accepted); }),
+      ReportTimer_(Context) {}
+
+void OwnerLinks::onAccept(const Link &Accepted) {
+  connection::PeerLink::Hooks Use;
+  // The first message names the entry; until then the link owns itself.
+  auto Name = std::make_shared<std::string>();
+  const std::weak_ptr<connection::PeerLink> Weak = Accepted;
+  Use.OnMessage_ = [this, Name, Weak](connection::PeerMessage Message) {
+    const Link Current = Weak.lock();
+    if (Message.Method_ == "hello" && Name->empty()) {
+      if (Message.Params_.isObject() && Message.Params_["entry"].isString())
+        *Name = Message.Params_["entry"].asString();
+      return onHello(Current, Message.Params_);
+    }
+    const auto Known = Owners_.find(*Name);
+    if (Known != Owners_.end() && Known->second.Link_ == Current)
+      onMessage(*Name, std::move(Message));
+  };
+  Use.OnClosed_ = [this, Name, Weak](const std::string &Why) {
+    const auto Known = Owners_.find(*Name);
+    if (Known == Owners_.end() || Known->second.Link_ != Weak.lock())
+      return;
+    Hooks_.Log_(*Name, "entry_disconnected", "detail=\"" + Why + "\"");
+    Known->second.Link_.reset();
+  };
+  Accepted->start(std::move(Use));
+}
+
+void OwnerLinks::onHello(const Link &Accepted, const Json::Value &Params) {
+  if (!Params.isObject() || !Params["entry"].isString() ||
+      !Params["session"].isString()) {
+    Hooks_.Log_("", "message_ignored", "detail=\"hello without names\"");
+    return Accepted->close();
+  }
+  const std::string Name = Params["entry"].asString();
+  const std::string SessionId = Params["session"].asString();
+  const auto Known = Owners_.find(Name);
+  const bool Resumed =
+      Known != Owners_.end() && Known->second.SessionId_ == SessionId;
+  if (Known != Owners_.end() && !Resumed)
+    remove(Name, "new session");
+  Owner &Which = Owners_[Name];
+  if (Which.Link_)
+    Which.Link_->close();
+  Which.SessionId_ = SessionId;
+  Which.Link_ = Accepted;
+  Which.HeardAt_ = Hooks_.Now_();
+  Hooks_.Log_(Name, "entry_connected",
+              Resumed ? "session=resumed" : "session=new");
+  Json::Value Welcome(Json::objectValue);
+  Welcome["resumed"] = Resumed;
+  Accepted->send(
+      Which.Session_.unnumbered("welcome", request::writeJson(Welcome)));
+  for (const std::string &Line : Which.Session_.unacknowledged())
+    Accepted->send(Line);
+  reportSoon();
+}
+
+void OwnerLinks::onMessage(const std::string &Name,
+                           connection::PeerMessage Message) {
+  Owner &Which = Owners_[Name];
+  Which.HeardAt_ = Hooks_.Now_();
+  if (!Which.Session_.accept(Message) || Message.Method_ == "heartbeat")
+    return;
+  MessageFault Why;
+  if (Message.Method_ == "order") {
+    if (const auto Order = decodeOrder(Message.Params_, Why))
+      return Hooks_.OnOrder_(Name, *Order);
+  } else if (Message.Method_ == "cancel" && Message.Params_.isObject() &&
+             Message.Params_["job"].isString()) {
+    return Hooks_.OnCancel_(Name, Message.Params_["job"].asString());
+  } else {
+    Why.Message_ = "unknown message \"" + Message.Method_ + "\"";
+  }
+  Hooks_.Log_(Name, "message_ignored", "detail=\"" + Why.Message_ + "\"");
+}
+
+void OwnerLinks::remove(const std::string &Name, const std::string &Why) {
+  const auto Known = Owners_.find(Name);
+  if (Known->second.Link_)
+    Known->second.Link_->close();
+  Owners_.erase(Known);
+  Hooks_.Log_(Name, "entry_lost", "detail=\"" + Why + "\"");
+  Hooks_.OnGone_(Name);
+}
+
+void OwnerLinks::sendOutcome(const std::string &Name,
+                             const RunOutcome &Outcome) {
+  const auto Known = Owners_.find(Name);
+  if (Known == Owners_.end())
+    return;
+  const std::string Line = Known->second.Session_.number(
+      "outcome", request::writeJson(encodeOutcome(Outcome)));
+  if (Known->second.Link_)
+    Known->second.Link_->send(Line);
+}
+
+void OwnerLinks::reportSoon() {
+  if (ReportDue_)
+    return;
+  ReportDue_ = true;
+  const TimePoint Now = Hooks_.Now_();
+  const TimePoint Next = std::max(Now, ReportedAt_ + ReportPeriod);
+  ReportTimer_.expires_after(Next - Now);
+  ReportTimer_.async_wait([this](auto Cancelled) {
+    if (!Cancelled)
+      sendReports();
+  });
+}
+
+void OwnerLinks::sendReports() {
+  ReportDue_ = false;
+  ReportedAt_ = Hooks_.Now_();
+  const std::string Body = request::writeJson(encodeReport(Hooks_.Report_()));
+  for (auto &[Name, Which] : Owners_)
+    if (Which.Link_)
+      Which.Link_->send(Which.Session_.unnumbered("report", Body));
+}
+
+void OwnerLinks::tick() {
+  const TimePoint Now = Hooks_.Now_();
+  for (auto Each = Owners_.begin(); Each != Owners_.end();) {
+    const auto Current = Each++;
+    if (Now - Current->second.HeardAt_ > Timing_.OwnerSilence_)
+      remove(std::string(Current->first), "silent");
+  }
+  if (Now - ReportedAt_ >= Timing_.HeartbeatPeriod_)
+    reportSoon();
+}
+
+void OwnerLinks::dropAll(const std::string &Why) {
+  while (!Owners_.empty())
+    remove(std::string(Owners_.begin()->first), Why);
+}
+
+} // namespace wigeonwall::process::dispatch
--- /dev/null
+++ b/packages/process/src/dispatch/prefix_follower.cpp
@@ -0,0 +1,71 @@
+#include "wigeonwall/process/dispatch/prefix_follower.h"
+
+namespace wigeonwall::process::dispatch {
+
+using connection::StoreFault;
+
+void PrefixFollower::retry(const std::string &Cause,
+                           void (PrefixFollower::*Next)()) {
+  if (!Failing_)
+    Hooks_.OnStore_(Cause);
+  Failing_ = true;
+  Hooks_.After_(Options_.RetryDelay_, [Weak = weak_from_this(), Next] {
+    if (const auto Self = Weak.lock())
+      (Self.get()->*Next)();
+  });
+}
+
+void PrefixFollower::succeeded() {
+  if (Failing_)
+    Hooks_.OnStore_("");
+  Failing_ = false;
+}
+
+void PrefixFollower::list() {
+  Store_.list(
+      Options_.Prefix_,
+      [Weak = weak_from_this()](std::optional<connection::StoreListing> Listing,
+                                const StoreFault &Why) {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (!Listing)
+          return Self->retry(Why.Message_, &PrefixFollower::list);
+        Self->succeeded();
+        Self->Values_.clear();
+        for (connection::StoredItem &Item : Listing->Items_)
+          Self->Values_[Item.Key_] = std::move(Item.Value_);
+        Self->Revision_ = Listing->Revision_;
+        Self->Listed_ = true;
+        Self->Hooks_.OnValues_(Self->Values_);
+        Self->watch();
+      });
+}
+
+void PrefixFollower::watch() {
+  Store_.watch(
+      Options_.Prefix_, Revision_, Options_.WatchWait_,
+      [Weak = weak_from_this()](std::optional<connection::StoreChanges> Changes,
+                                const StoreFault &Why) {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (!Changes)
+          return Self->retry(Why.Message_, &PrefixFollower::watch);
+        Self->succeeded();
+        if (Changes->HistoryLost_)
+          return Self->list();
+        for (connection::StoreChange &Each : Changes->Changes_) {
+          if (Each.Deleted_)
+            Self->Values_.erase(Each.Item_.Key_);
+          else
+            Self->Values_[Each.Item_.Key_] = std::move(Each.Item_.Value_);
+        }
+        Self->Revision_ = std::max(Self->Revision_, Changes->Revision_);
+        if (!Changes->Changes_.empty())
+          Self->Hooks_.OnValues_(Self->Values_);
+        Self->watch();
+      });
+}
+
+} // namespace wigeonwall::process::dispatch
--- a/packages/process/src/log.cpp
+++ b/packages/process/src/log.cpp
@@ -7,9 +7,14 @@
 
 #include <algorithm>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <memory>
+#include <sstream>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace wigeonwall::process {
 
@@ -59,6 +64,58 @@
   Text += static_cast<char>(Character);
 }
 
+/// Writes to standard output as far as it takes lines and the rate allows.
+class StandardOutputAppender : public log4cplus::Appender {
+public:
+  StandardOutputAppender() {
+    const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (Flags != -1)
+      ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+  }
+  ~StandardOutputAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    if (!takeToken()) {
+      ++Dropped_;
+      return;
+    }
+    std::ostringstream Text;
+    layout->formatAndAppend(Text, Event);
+    std::string Line = Text.str();
+    if (Dropped_ > 0) {
+      Line.pop_back();
+      Line += " dropped_lines_before=" + std::to_string(Dropped_) + "\n";
+    }
+    const ssize_t Size = ::write(STDOUT_FILENO, Line.data(), Line.size());
+    // A line that went out in part cannot be taken back; it counts as written.
+    if (Size > 0)
+      Dropped_ = 0;
+    else
+      ++Dropped_;
+  }
+
+private:
+  bool takeToken() {
+    const auto Now = std::chrono::steady_clock::now();
+    const double Passed =
+        std::chrono::duration<double>(Now - RefilledAt_).count();
+    RefilledAt_ = Now;
+    Tokens_ = std::min<double>(2.0 * MaxLogLinesPerSecond,
+                               Tokens_ + Passed * MaxLogLinesPerSecond);
+    if (Tokens_ < 1)
+      return false;
+    Tokens_ -= 1;
+    return true;
+  }
+
+  double Tokens_ = 2.0 * MaxLogLinesPerSecond;
+  std::chrono::steady_clock::time_point RefilledAt_ =
+      std::chrono::steady_clock::now();
+  std::uint64_t Dropped_ = 0;
+};
+
 void attach(log4cplus::SharedAppenderPtr Output, const std::string &ProcessId) {
   std::string Process = quoteLogValue(ProcessId);
   // "%" starts a conversion in a pattern.
@@ -89,6 +146,25 @@
   return Opened;
 }
 
+void startStandardOutputLog(const std::string &ProcessId) {
+  attach(log4cplus::SharedAppenderPtr(new StandardOutputAppender), ProcessId);
+  logger().setLogLevel(nativeLevel(LogLevel::Info));
+  Started = true;
+}
+
+void logDecision(std::string_view Component, std::string_view Event,
+                 std::string_view Subject, std::string_view Detail) {
+  if (!Started)
+    return;
+  std::string Line =
+      "component=" + std::string(Component) + " event=" + std::string(Event);
+  if (!Subject.empty())
+    Line += " subject=" + quoteLogValue(Subject);
+  if (!Detail.empty())
+    (Line += ' ') += Detail;
+  logger().forcedLog(log4cplus::INFO_LOG_LEVEL, Line);
+}
+
 void logEvent(std::string_view Component, std::string_view Event,
               std::initializer_list<LogField> Fields, LogLevel Level) {
   const log4cplus::LogLevel Native = nativeLevel(Level);
--- a/packages/process/src/settings.cpp
+++ b/packages/process/src/settings.cpp
@@ -1,209 +1,64 @@
 #include "wigeonwall/process/settings.h"
 
+#include "ini_parser.h"
 #include "settings_keys.h"
 
-#include <ini.h>
-
-#include <algorithm>
-#include <cstring>
 #include <fstream>
 #include <iterator>
-#include <map>
-#include <set>
 #include <sstream>
 
 namespace wigeonwall::process {
 
 namespace {
 
-constexpr int MaxLineBytes = 4096;
-
-/// \brief Passes text to inih line by line and collects checked settings.
-class SettingsParser {
-public:
-  SettingsParser(std::string_view Text, const std::string &File,
-                 SettingsFault &Why)
-      : Rest_(Text), File_(File), Why_(Why) {}
-
-  std::optional<Settings> run() {
-    // The default of 200 bytes is too short for a long list of addresses.
-    ini_use_stack = false;
-    ini_initial_alloc = MaxLineBytes;
-    ini_max_line = MaxLineBytes;
-    const int SyntaxLine = ini_parse_stream(readLine, this, acceptKey, this);
-    if (SyntaxLine < 0)
-      fail(SettingsError::Unreadable, 1, "not enough memory");
-    if (SyntaxLine > 0 && (!Failed_ || SyntaxLine < FaultLine_)) {
-      Failed_ = false;
-      fail(SettingsError::Syntax, SyntaxLine,
-           "expected \"[section]\", \"key = value\" or a comment");
-    }
-    if (!Failed_)
-      checkSections();
-    if (!Failed_)
-      checkMissing();
-    if (!Failed_)
-      checkListeners();
-    return Failed_ ? std::nullopt : std::optional<Settings>(Result_);
-  }
-
-private:
-  // Called by inih in the manner of fgets(). One call is one line, because a
-  // line longer than the buffer ends the parsing.
-  static char *readLine(char *Buffer, int Size, void *Self) {
-    return static_cast<SettingsParser *>(Self)->nextLine(
-        Buffer, static_cast<std::size_t>(Size));
-  }
-
-  static int acceptKey(void *Self, const char *Section, const char *Name,
-                       const char *Value) {
-    return static_cast<SettingsParser *>(Self)->accept(Section, Name, Value)
-               ? 1
-               : 0;
-  }
-
-  char *nextLine(char *Buffer, std::size_t Size) {
-    if (Rest_.empty() || Failed_)
-      return nullptr;
-    ++Line_;
-    const std::size_t Length = std::min(Rest_.find('\n'), Rest_.size());
-    std::string_view Text = Rest_.substr(0, Length);
-    Rest_.remove_prefix(std::min(Length + 1, Rest_.size()));
-    // inih takes an indented line for a continuation of the value before it.
-    Text.remove_prefix(std::min(Text.find_first_not_of(" \t"), Text.size()));
-    if (Text.size() + 2 > Size || Text.find('\0') != std::string_view::npos) {
-      fail(SettingsError::Syntax, Line_,
-           "line has a NUL character or more than " + std::to_string(Size - 2) +
-               " characters");
-      return nullptr;
-    }
-    noteSection(Text);
-    std::memcpy(Buffer, Text.data(), Text.size());
-    Buffer[Text.size()] = '\n';
-    Buffer[Text.size() + 1] = '\0';
-    return Buffer;
-  }
-
-  void noteSection(std::string_view Text) {
-    const std::size_t End = Text.find(']');
-    if (Text.starts_with('[') && End != std::string_view::npos)
-      SectionLines_.emplace(Text.substr(1, End - 1), Line_);
-  }
-
-  bool accept(const std::string &Section, const std::string &Name,
-              const std::string &Value) {
-    const std::string Label = "[" + Section + "] " + Name + ": ";
-    const auto Header = SectionLines_.find(Section);
-    if (Header != SectionLines_.end() && !checkSection(Section, Header->second))
-      return false;
-    const auto &Keys = detail::settingsKeys();
-    const auto Key = std::find_if(Keys.begin(), Keys.end(), [&](auto &Each) {
-      return Each.Section_ == Section && Each.Name_ == Name;
-    });
-    if (Key == Keys.end())
-      return fail(SettingsError::UnknownKey, Line_, Label + "unknown key");
-    if (!Seen_.emplace(Section, Name).second)
-      return fail(SettingsError::DuplicateKey, Line_,
-                  Label + "key is set twice");
-    const std::string Wrong = Key->Assign_(Value, Result_);
-    return Wrong.empty() || fail(SettingsError::BadValue, Line_, Label + Wrong);
-  }
-
-  bool checkSection(const std::string &Section, int Line) {
-    const std::string Label = "[" + Section + "]: ";
-    if (Section == "process")
-      return true;
-    const auto Owner = request::findValue(RoleNames, Section);
-    if (!Owner)
-      return fail(SettingsError::UnknownSection, Line,
-                  Label + "unknown section");
-    const bool RoleKnown = Seen_.count({"process", "role"}) != 0;
-    if (!RoleKnown || *Owner == Result_.Role_)
-      return true;
-    const std::string Own(request::findName(RoleNames, Result_.Role_));
-    return fail(SettingsError::UnknownSection, Line,
-                Label + "section does not fit role \"" + Own + "\"");
-  }
-
-  // The role may stand below the section that it rules out.
-  void checkSections() {
-    for (const auto &[Section, Line] : SectionLines_)
-      checkSection(Section, Line);
-  }
-
-  void checkMissing() {
-    const std::string Own(request::findName(RoleNames, Result_.Role_));
-    for (const detail::SettingsKey &Key : detail::settingsKeys()) {
-      const bool Applies = Key.Section_ == "process" || Key.Section_ == Own;
-      if (!Applies || !Key.Required_ || Seen_.count({Key.Section_, Key.Name_}))
-        continue;
-      const auto Found = SectionLines_.find(Key.Section_);
-      fail(SettingsError::MissingKey,
-           Found == SectionLines_.end() ? std::max(Line_, 1) : Found->second,
-           "[" + Key.Section_ + "] " + Key.Name_ + ": key is missing");
-    }
-  }
-
-  void checkListeners() {
-    std::map<connection::Endpoint, std::string> Taken;
-    const auto Claim = [&](const connection::Endpoint &Address,
-                           const std::string &Section, const char *Name) {
-      const std::string Label = "[" + Section + "] " + Name;
-      const auto [Other, Free] = Taken.emplace(Address, Label);
-      if (!Free)
-        fail(SettingsError::BadValue, SectionLines_[Section],
-             Label + ": same address as " + Other->second);
-    };
-    Claim(Result_.ControlListen_, "process", "control_listen");
-    Claim(Result_.TrafficListen_, "process", "traffic_listen");
-    Claim(Result_.AdminListen_, "process", "admin_listen");
-    if (Result_.Role_ == Role::Entry)
-      Claim(Result_.Entry_.CallersListen_, "entry", "callers_listen");
-    else
-      Claim(Result_.Agent_.Minion_, "agent", "minion");
-    if (Result_.controlAddress() == Result_.trafficAddress())
-      fail(SettingsError::BadValue, SectionLines_["process"],
-           "[process] traffic_announce: same address as the control address");
-  }
-
-  bool fail(SettingsError Code, int Line, std::string Message) {
-    if (Failed_)
-      return false;
-    Failed_ = true;
-    FaultLine_ = Line;
-    Why_ = {Code, std::move(Message), File_ + ":" + std::to_string(Line)};
-    return false;
-  }
-
-  std::string_view Rest_;
-  const std::string &File_;
-  SettingsFault &Why_;
-  Settings Result_;
-  int Line_ = 0;
-  int FaultLine_ = 0;
-  bool Failed_ = false;
-  std::map<std::string, int> SectionLines_;
-  std::set<std::pair<std::string, std::string>> Seen_;
-};
+std::pair<std::string, std::string> checkListeners(const Settings &Given) {
+  std::map<connection::Endpoint, std::string> Taken;
+  std::pair<std::string, std::string> Fault;
+  const auto Claim = [&](const connection::Endpoint &Address,
+                         const std::string &Section, const char *Name) {
+    const std::string Label = "[" + Section + "] " + Name;
+    const auto [Other, Free] = Taken.emplace(Address, Label);
+    if (!Free && Fault.second.empty())
+      Fault = {Section, Label + ": same address as " + Other->second};
+  };
+  Claim(Given.ControlListen_, "process", "control_listen");
+  Claim(Given.TrafficListen_, "process", "traffic_listen");
+  Claim(Given.AdminListen_, "process", "admin_listen");
+  if (Given.Role_ == Role::Entry)
+    Claim(Given.Entry_.CallersListen_, "entry", "callers_listen");
+  else
+    Claim(Given.Agent_.Minion_, "agent", "minion");
+  if (Fault.second.empty() && Given.controlAddress() == Given.trafficAddress())
+    Fault = {"process", "[process] traffic_announce: same address as the "
+                        "control address"};
+  return Fault;
+}
 
 } // namespace
 
+std::optional<std::string> readSettingsFile(const std::string &Path,
+                                            SettingsFault &Why) {
+  std::ifstream Stream(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (Stream && (Text << Stream.rdbuf()))
+    return Text.str();
+  Why = {SettingsError::Unreadable, "file cannot be read or is empty",
+         Path + ":1"};
+  return std::nullopt;
+}
+
 std::optional<Settings> parseSettings(std::string_view Text,
                                       const std::string &File,
                                       SettingsFault &Why) {
-  return SettingsParser(Text, File, Why).run();
+  static const detail::IniFormat<Settings> Format{detail::settingsKeys(),
+                                                  checkListeners};
+  return detail::IniParser<Settings>(Format, Text, File, Why).run();
 }
 
 std::optional<Settings> loadSettings(const std::string &Path,
                                      SettingsFault &Why) {
-  std::ifstream Stream(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!Stream || !(Text << Stream.rdbuf())) {
-    Why = {SettingsError::Unreadable, "file cannot be read or is empty",
-           Path + ":1"};
-    return std::nullopt;
-  }
-  return parseSettings(Text.str(), Path, Why);
+  const auto Text = readSettingsFile(Path, Why);
+  return Text ? parseSettings(*Text, Path, Why) : std::nullopt;
 }
 
 std::string describe(const SettingsFault &Why) {
--- /dev/null
+++ b/packages/request/src/wait_forecast.cpp
@@ -0,0 +1,82 @@
+#include "wigeonwall/request/wait_forecast.h"
+
+#include <queue>
+
+namespace wigeonwall::request {
+
+namespace {
+
+/// Wait reported for a run that the minion can never hold.
+constexpr Duration Forever = std::chrono::hours(1);
+
+struct LaterEnd {
+  bool operator()(const ExpectedEnd &Left,
+                  const ExpectedEnd &Right) const noexcept {
+    return Left.End_ > Right.End_;
+  }
+};
+
+/// Processor shares of one minion as its runs end one by one.
+class Playback {
+public:
+  Playback(const std::vector<ExpectedEnd> &Running, std::int64_t FreeCpu,
+           TimePoint Now)
+      : Ends_(LaterEnd{}, Running), FreeCpu_(FreeCpu), Now_(Now) {}
+
+  /// Advances until \p Cpu is free; false when it never is.
+  bool advanceTo(std::int64_t Cpu) {
+    while (FreeCpu_ < Cpu) {
+      if (Ends_.empty())
+        return false;
+      Now_ = std::max(Now_, Ends_.top().End_);
+      FreeCpu_ += Ends_.top().CpuMillicores_;
+      Ends_.pop();
+    }
+    return true;
+  }
+
+  void start(std::int64_t Cpu, Duration Length) {
+    if (!advanceTo(Cpu))
+      return;
+    FreeCpu_ -= Cpu;
+    Ends_.push({Now_ + Length, Cpu});
+  }
+
+  [[nodiscard]] TimePoint now() const noexcept { return Now_; }
+
+private:
+  std::priority_queue<ExpectedEnd, std::vector<ExpectedEnd>, LaterEnd> Ends_;
+  std::int64_t FreeCpu_;
+  TimePoint Now_;
+};
+
+Duration forecast(const std::vector<ExpectedEnd> &Running,
+                  const RunQueue &Queue, std::int64_t FreeCpu,
+                  std::int64_t TypicalCpu, double Slowness, TimePoint Now,
+                  Duration Slack) {
+  Playback Play(Running, FreeCpu, Now);
+  Queue.forEach([&](const WaitingRun &Waiting) {
+    if (Waiting.LatestOnTime_ >= Now && Waiting.LatestOnTime_ <= Now + Slack)
+      Play.start(
+          Waiting.Needs_.CpuMillicores_,
+          std::chrono::duration_cast<Duration>(Waiting.Expected_ * Slowness));
+  });
+  return Play.advanceTo(TypicalCpu) ? Play.now() - Now : Forever;
+}
+
+} // namespace
+
+std::array<Duration, SlackClasses.size()>
+forecastWaits(const std::vector<ExpectedEnd> &Running, const RunQueue &Queue,
+              std::int64_t FreeCpu, std::int64_t TypicalCpu, double Slowness,
+              TimePoint Now) {
+  std::array<Duration, SlackClasses.size()> Waits{};
+  if (Queue.empty() && FreeCpu >= TypicalCpu)
+    return Waits;
+  for (std::size_t I = 0; I < Waits.size(); ++I)
+    Waits[I] = forecast(Running, Queue, FreeCpu, TypicalCpu, Slowness, Now,
+                        SlackClasses[I]);
+  return Waits;
+}
+
+} // namespace wigeonwall::request
