Look again when a hold goes unanswered; use slow minions before queueing

A lost reply to a hold marked the minion unreachable, and without runs no further look was sent. Besides, ends stayed unseen for up to 600 ms, and slow minions idled while queues grew at fast ones; a slowness learned during trouble never faded, since the minion got no runs.

Ruled out: the rate of the minions (utilisation at starts was 0.9 on those in use), leaked capacity (free_cpu returned to full).

--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -77,6 +77,11 @@
   /// Longest wait of a look at the minion; a third of a lease, so that one
   /// lost reply does not end the leases.
   std::chrono::milliseconds HoldWait_{300};
+  /// While runs exist, a waiting look without a reply is doubled by an
+  /// immediate one after this time, since replies may be lost.
+  request::Duration LookPeriod_ = std::chrono::milliseconds(60);
+  /// Looks without a reply in a row before the minion counts as unreachable.
+  int MaxMissedLooks_ = 3;
   /// Factor on expected times of a run that is taken to stand still.
   double StuckFactor_ = 4.0;
   /// Least time before a run is taken to stand still.
@@ -142,12 +147,13 @@
   void sendStops();
   void look(bool AtOnce);
   void onHoldReply(HoldReply Reply, request::TimePoint AskedAt, bool AtOnce);
-  void onUnreachable(const std::string &Detail);
+  void onMissedLook(const std::string &Detail);
   void noteProgress(const request::RunListing &Listing);
   void stopUseless();
   void settle(const std::vector<request::SettledRun> &Settled);
   void settle(const request::SettledRun &Settled);
   void learn(const Run &Ended, request::RunEnd End);
+  void forgetSlowness(request::TimePoint Now);
   void decline(const request::WaitingRun &Waiting, const std::string &Why);
   void declineAll(std::vector<request::WaitingRun> Waiting,
                   const std::string &Why);
@@ -169,11 +175,14 @@
   /// A waiting look, and one that replies at once, may be under way.
   bool LookWaits_ = false;
   bool LookAtOnce_ = false;
+  request::TimePoint LookedAt_;
+  int MissedLooks_ = 0;
   /// Counts lives of the minion, so that late replies are told apart.
   std::uint64_t LifeCount_ = 0;
   /// Clock of the newest listing, since replies may overtake each other.
   std::int64_t ListedClockMs_ = 0;
   double Slowness_ = 1.0;
+  request::TimePoint TickedAt_;
   std::int64_t TypicalCpu_ = 0;
 };
 
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -23,6 +23,11 @@
 constexpr double LeastSlowness = 0.25;
 constexpr double MostSlowness = 10.0;
 
+/// Time in which a slowness without new runs returns most of the way to
+/// nominal. A minion that was slow for a while gets no runs that could show its
+/// recovery.
+constexpr double SlownessMemorySeconds = 2.5;
+
 std::string inMilliseconds(Duration Value) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
@@ -61,6 +66,7 @@
     ++LifeCount_;
     LookWaits_ = LookAtOnce_ = false;
     ListedClockMs_ = 0;
+    MissedLooks_ = 0;
     Reachable_ = true;
     Health_ = request::HealthTracker(Hooks_.Now_);
     Slowness_ = 1.0;
@@ -276,10 +282,13 @@
 }
 
 void RunAgent::look(bool AtOnce) {
-  if (!Gate_.needsListing() || (AtOnce ? LookAtOnce_ : LookWaits_))
+  const bool Needed =
+      Gate_.needsListing() || (Gate_.minion() && MissedLooks_ > 0);
+  if (!Needed || (AtOnce ? LookAtOnce_ : LookWaits_))
     return;
   (AtOnce ? LookAtOnce_ : LookWaits_) = true;
   const TimePoint Now = Hooks_.Now_();
+  LookedAt_ = Now;
   HoldCall Call;
   Call.LeaseEndMs_ = Gate_.grantLease(Now);
   Call.FencingToken_ = FencingToken_;
@@ -299,9 +308,10 @@
   if (Reply.Fenced_)
     raiseToken();
   if (!Reply.Listing_) {
-    onUnreachable(Reply.Detail_);
+    onMissedLook(Reply.Detail_);
     return;
   }
+  MissedLooks_ = 0;
   if (!Reachable_) {
     Reachable_ = true;
     Hooks_.Log_("minion", "reachable", "");
@@ -317,8 +327,8 @@
   pump();
 }
 
-void RunAgent::onUnreachable(const std::string &Detail) {
-  if (Reachable_) {
+void RunAgent::onMissedLook(const std::string &Detail) {
+  if (++MissedLooks_ >= Options_.MaxMissedLooks_ && Reachable_) {
     Reachable_ = false;
     Hooks_.Log_("minion", "unreachable",
                 "detail=\"" + Detail +
@@ -398,8 +408,17 @@
                (std::clamp(Ratio, LeastSlowness, MostSlowness) - Slowness_);
 }
 
+void RunAgent::forgetSlowness(TimePoint Now) {
+  const double Passed =
+      std::chrono::duration<double>(Now - TickedAt_).count();
+  TickedAt_ = Now;
+  Slowness_ +=
+      (1.0 - Slowness_) * std::min(1.0, Passed / SlownessMemorySeconds);
+}
+
 void RunAgent::tick() {
   const TimePoint Now = Hooks_.Now_();
+  forgetSlowness(Now);
   if (!Gate_.minion())
     return;
   if (const auto Lapsed = Gate_.expire(Now); !Lapsed.empty()) {
@@ -408,6 +427,8 @@
     settle(Lapsed);
   }
   stopUseless();
+  if (Now - LookedAt_ >= Options_.LookPeriod_)
+    look(true);
   pump();
 }
 
--- a/packages/request/src/fleet_view.cpp
+++ b/packages/request/src/fleet_view.cpp
@@ -10,9 +10,14 @@
 /// Predicted ends this close are equal; the prediction is no better than that.
 constexpr double TieSeconds = 0.008;
 
-/// Weight of a predicted wait against run time: waits are less certain, as
-/// more urgent runs of other entries may come first.
-constexpr double WaitWeight = 1.5;
+/// Weights of a predicted wait and of a late end against run time. A free slow
+/// minion goes before a queue at a fast one as long as the task is on time
+/// there; otherwise slow minions would idle while queues grow.
+constexpr double WaitWeight = 4.0;
+constexpr double LateWeight = 10.0;
+
+/// Share of the slack that is planned with; the rest covers wrong estimates.
+constexpr double PlannedSlack = 0.9;
 
 /// Added to the predicted end of a task on an agent that just failed it.
 constexpr double AvoidSeconds = 10.0;
@@ -109,14 +114,18 @@
                  const std::map<std::string, std::uint32_t> &Placed) {
   std::vector<Candidate> Choices = candidates(Job, Service, Slack, Placed);
   std::vector<TaskPlacement> Result;
+  const double OnTime = seconds(Job.Estimate_) + PlannedSlack * seconds(Slack);
   for (std::uint32_t I = 0; I < Count; ++I) {
     Candidate *Best = nullptr;
     double BestScore = 0;
     for (Candidate &Each : Choices) {
       if (Each.Room_ == 0)
         continue;
-      const double Score = WaitWeight * seconds(Each.wait(Job.Needs_)) +
-                           seconds(Each.Expected_) * Each.Report_->Slowness_ +
+      const double Wait = seconds(Each.wait(Job.Needs_));
+      const double RunTime =
+          seconds(Each.Expected_) * Each.Report_->Slowness_;
+      const double Late = std::max(0.0, Wait + RunTime - OnTime);
+      const double Score = LateWeight * Late + WaitWeight * Wait + RunTime +
                            Draw_() * TieSeconds +
                            (Each.Name_ == Avoid ? AvoidSeconds : 0.0);
       if (Best == nullptr || Score < BestScore) {
