Hand tasks back at once when a minion would keep them waiting

Load: bursts at 0.8 to 1.0 of the capacity, four entries that place jobs of 8 parallel 60 ms tasks on the same minions within the delay of a report.

An agent now declines a task that would wait 10 ms longer than the entry predicted, together with its state; after three such moves a task waits where it is. Jobs are spread by fill level, and refused when half of their slack would be spent waiting.

--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -91,7 +91,12 @@
   request::Duration Overhead_ = std::chrono::milliseconds(15);
   /// Answers later than this multiple of the objective help no caller.
   double UsefulFactor_ = 3.0;
-  /// Placements of one task that agents may decline, as their state changes.
+  /// Share of its slack that a job may be predicted to wait. Of the jobs above
+  /// it fewer than half end on time, and what they use delays others.
+  double AdmittedWait_ = 0.5;
+  /// A task is handed back when it would wait this much longer than predicted.
+  request::Duration WaitTolerance_ = std::chrono::milliseconds(10);
+  /// Times that a task may be handed back; after that it waits where it is.
   std::uint32_t MaxDeclines_ = 3;
 };
 
--- a/packages/process/include/wigeonwall/process/dispatch/messages.h
+++ b/packages/process/include/wigeonwall/process/dispatch/messages.h
@@ -34,7 +34,10 @@
   request::Duration OnTimeIn_{};
   /// Time left until an end is of no use to the caller.
   request::Duration UsefulIn_{};
-  /// Tasks that cannot start on time are handed back for another place.
+  /// Tasks that would wait longer, or cannot start on time, are handed back
+  /// for another place.
+  request::Duration Patience_{};
+  /// False for tasks that wait here as long as they are useful.
   bool MayMove_ = true;
   std::vector<OrderedTask> Tasks_;
 };
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace wigeonwall::process::dispatch {
@@ -66,12 +67,16 @@
   void onMessage(const std::string &Name, connection::PeerMessage Message);
   void remove(const std::string &Name, const std::string &Why);
   void sendReports();
+  /// Tells one entry at once why its order was declined.
+  void sendReport(Owner &To);
 
   LinkTiming Timing_;
   OwnerLinksHooks Hooks_;
   connection::PeerListener Listener_;
   connection::asio::steady_timer ReportTimer_;
   bool ReportDue_ = false;
+  /// Entries that got a report in this turn of the loop.
+  std::set<std::string> Told_;
   request::TimePoint ReportedAt_;
   std::map<std::string, Owner> Owners_;
 };
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -7,6 +7,7 @@
 #include "wigeonwall/request/health.h"
 #include "wigeonwall/request/run_gate.h"
 #include "wigeonwall/request/run_queue.h"
+#include "wigeonwall/request/wait_forecast.h"
 
 #include <functional>
 #include <map>
@@ -153,6 +154,9 @@
   void settle(const std::vector<request::SettledRun> &Settled);
   void settle(const request::SettledRun &Settled);
   void learn(const Run &Ended, request::RunEnd End);
+  [[nodiscard]] std::vector<request::ExpectedEnd> expectedEnds() const;
+  [[nodiscard]] request::Duration
+  expectedWait(const request::WaitingRun &Waiting) const;
   void forgetSlowness(request::TimePoint Now);
   void decline(const request::WaitingRun &Waiting, const std::string &Why);
   void declineAll(std::vector<request::WaitingRun> Waiting,
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -17,6 +17,10 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
 }
 
+double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
 /// Largest predicted end and wait of some placements.
 struct Prediction {
   Duration Finish_{};
@@ -90,7 +94,7 @@
       " objective_ms=" + inMilliseconds(Times.Objective_) +
       " predicted_ms=" + inMilliseconds(Expected.Finish_) +
       " wait_ms=" + inMilliseconds(Expected.Wait_);
-  if (Expected.Wait_ > Times.Slack_)
+  if (seconds(Expected.Wait_) > Options_.AdmittedWait_ * seconds(Times.Slack_))
     return refuse(Spec.Id_, Reply, JobReason::Overloaded, Expected.Wait_,
                   Detail);
   const TimePoint Now = Hooks_.Now_();
@@ -124,6 +128,9 @@
     Of.Agent_ = Places[I].Agent_;
     RunOrder &Order = Orders[Of.Agent_];
     Order.Expected_ = Places[I].Expected_;
+    Order.Patience_ =
+        std::max(Order.Patience_, Places[I].Wait_ + Options_.WaitTolerance_);
+    Order.MayMove_ = Order.MayMove_ && Of.Declines_ < Options_.MaxDeclines_;
     Order.Tasks_.push_back({Indices[I], Of.NextNumber_});
   }
   for (auto &[Agent, Order] : Orders) {
@@ -133,7 +140,7 @@
     Order.Needs_ = Which.Spec_.Needs_;
     Order.OnTimeIn_ = Which.OnTimeBy_ - Now;
     Order.UsefulIn_ = Which.UsefulBy_ - Now;
-    Order.MayMove_ = Order.OnTimeIn_ > Order.Expected_;
+    Order.MayMove_ = Order.MayMove_ && Order.OnTimeIn_ > Order.Expected_;
     const std::uint64_t Sequence = Hooks_.SendOrder_(Agent, Order);
     for (std::size_t I = 0; I < Order.Tasks_.size(); ++I)
       View_.onOrder(Agent, Sequence, Order.Needs_, Order.Expected_);
@@ -178,9 +185,8 @@
   if (Outcome.End_ == request::RunEnd::Failed &&
       ++Of.Failures_ >= Its.Policy_.MaxAttempts_)
     return beginEnding(Which, JobReason::AttemptsUsed);
-  if (Outcome.End_ == request::RunEnd::NeverRan &&
-      ++Of.Declines_ > Options_.MaxDeclines_)
-    return beginEnding(Which, JobReason::Overloaded);
+  if (Outcome.End_ == request::RunEnd::NeverRan)
+    ++Of.Declines_;
   placeAgain(Which, Outcome.Index_);
 }
 
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -56,6 +56,7 @@
   Result["expected_us"] = Json::Int64(microseconds(Order.Expected_));
   Result["on_time_us"] = Json::Int64(microseconds(Order.OnTimeIn_));
   Result["useful_us"] = Json::Int64(microseconds(Order.UsefulIn_));
+  Result["patience_us"] = Json::Int64(microseconds(Order.Patience_));
   Result["may_move"] = Order.MayMove_;
   Json::Value &Tasks = Result["tasks"] = Json::Value(Json::arrayValue);
   for (const OrderedTask &Task : Order.Tasks_) {
@@ -78,6 +79,7 @@
     Result.Expected_ = fromMicroseconds(Value["expected_us"]);
     Result.OnTimeIn_ = fromMicroseconds(Value["on_time_us"]);
     Result.UsefulIn_ = fromMicroseconds(Value["useful_us"]);
+    Result.Patience_ = fromMicroseconds(Value["patience_us"]);
     Result.MayMove_ = Value["may_move"].asBool();
     if (Value["tasks"].size() > MaxTasks)
       throw Json::LogicError("too many tasks");
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -113,6 +113,11 @@
   const auto Known = Owners_.find(Name);
   if (Known == Owners_.end())
     return;
+  if (Outcome.End_ == request::RunEnd::NeverRan && Told_.insert(Name).second) {
+    sendReport(Known->second);
+    connection::asio::post(ReportTimer_.get_executor(),
+                           [this] { Told_.clear(); });
+  }
   const std::string Line = Known->second.Session_.number(
       "outcome", request::writeJson(encodeOutcome(Outcome)));
   if (Known->second.Link_)
@@ -132,6 +137,12 @@
   });
 }
 
+void OwnerLinks::sendReport(Owner &To) {
+  if (To.Link_)
+    To.Link_->send(To.Session_.unnumbered(
+        "report", request::writeJson(encodeReport(Hooks_.Report_()))));
+}
+
 void OwnerLinks::sendReports() {
   ReportDue_ = false;
   ReportedAt_ = Hooks_.Now_();
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -126,6 +126,8 @@
     Waiting.LatestUseful_ = Now + Order.UsefulIn_ - Pace;
     if (!RightService || !accepting())
       decline(Waiting, whyNotAccepting(Order.Service_));
+    else if (Order.MayMove_ && expectedWait(Waiting) > Order.Patience_)
+      decline(Waiting, "no_room");
     else
       Queue_.add(std::move(Waiting));
   }
@@ -409,8 +411,7 @@
 }
 
 void RunAgent::forgetSlowness(TimePoint Now) {
-  const double Passed =
-      std::chrono::duration<double>(Now - TickedAt_).count();
+  const double Passed = std::chrono::duration<double>(Now - TickedAt_).count();
   TickedAt_ = Now;
   Slowness_ +=
       (1.0 - Slowness_) * std::min(1.0, Passed / SlownessMemorySeconds);
@@ -432,6 +433,25 @@
   pump();
 }
 
+std::vector<request::ExpectedEnd> RunAgent::expectedEnds() const {
+  const TimePoint Now = Hooks_.Now_();
+  std::vector<request::ExpectedEnd> Ends;
+  for (const auto &[Key, Which] : Runs_)
+    Ends.push_back(
+        {std::max(Now, Which.Began_ + std::chrono::duration_cast<Duration>(
+                                          Which.Expected_ * Slowness_)),
+         Which.Needs_.CpuMillicores_});
+  return Ends;
+}
+
+Duration RunAgent::expectedWait(const request::WaitingRun &Waiting) const {
+  const TimePoint Now = Hooks_.Now_();
+  return request::forecastWait(expectedEnds(), Queue_,
+                               Gate_.free().CpuMillicores_,
+                               Waiting.Needs_.CpuMillicores_, Slowness_, Now,
+                               Waiting.LatestOnTime_ - Now);
+}
+
 request::AgentReport RunAgent::report() {
   request::AgentReport Result;
   Result.Accepting_ = accepting();
@@ -444,17 +464,12 @@
   Result.Free_ = Gate_.free();
   Result.Slowness_ = Slowness_;
   const TimePoint Now = Hooks_.Now_();
-  std::vector<request::ExpectedEnd> Ends;
-  for (const auto &[Key, Which] : Runs_)
-    Ends.push_back(
-        {std::max(Now, Which.Began_ + std::chrono::duration_cast<Duration>(
-                                          Which.Expected_ * Slowness_)),
-         Which.Needs_.CpuMillicores_});
   Queue_.forEach([&](const request::WaitingRun &Waiting) {
     Result.Free_ -= Waiting.Needs_;
   });
-  Result.Waits_ = request::forecastWaits(
-      Ends, Queue_, Gate_.free().CpuMillicores_, TypicalCpu_, Slowness_, Now);
+  Result.Waits_ = request::forecastWaits(expectedEnds(), Queue_,
+                                         Gate_.free().CpuMillicores_,
+                                         TypicalCpu_, Slowness_, Now);
   return Result;
 }
 
--- a/packages/request/include/wigeonwall/request/fleet_view.h
+++ b/packages/request/include/wigeonwall/request/fleet_view.h
@@ -85,6 +85,8 @@
     std::uint32_t Room_ = 0;
 
     [[nodiscard]] Duration wait(const Resources &Needs) const;
+    /// Share of the processor in use, over 1 with a queue.
+    [[nodiscard]] double fill() const;
   };
 
   std::vector<Candidate>
--- a/packages/request/include/wigeonwall/request/wait_forecast.h
+++ b/packages/request/include/wigeonwall/request/wait_forecast.h
@@ -16,6 +16,13 @@
   std::int64_t CpuMillicores_ = 0;
 };
 
+/// \brief Predicted wait of a run that needs \p Cpu and has \p Slack; runs
+/// with less slack go first.
+[[nodiscard]] Duration forecastWait(const std::vector<ExpectedEnd> &Running,
+                                    const RunQueue &Queue, std::int64_t FreeCpu,
+                                    std::int64_t Cpu, double Slowness,
+                                    TimePoint Now, Duration Slack);
+
 /// \brief Plays the expected ends and the queue forward.
 ///
 /// Only processor shares are played; memory seldom binds, and the gate checks
--- a/packages/request/src/fleet_view.cpp
+++ b/packages/request/src/fleet_view.cpp
@@ -16,6 +16,11 @@
 constexpr double WaitWeight = 4.0;
 constexpr double LateWeight = 10.0;
 
+/// Added to the score of a full minion, as a share of the run time. Spreads a
+/// job over minions with room, so that jobs of other entries that arrive
+/// within the delay of a report seldom meet on one of them.
+constexpr double FillWeight = 0.5;
+
 /// Share of the slack that is planned with; the rest covers wrong estimates.
 constexpr double PlannedSlack = 0.9;
 
@@ -58,6 +63,12 @@
        static_cast<double>(Needs.CpuMillicores_) * seconds(Expected)});
 }
 
+double FleetView::Candidate::fill() const {
+  const double Capacity = static_cast<double>(
+      std::max<std::int64_t>(1, Report_->Capacity_.CpuMillicores_));
+  return 1.0 - static_cast<double>(Free_.CpuMillicores_) / Capacity;
+}
+
 Duration FleetView::Candidate::wait(const Resources &Needs) const {
   if (Needs.fitsIn(Free_) && BaseWait_ == Duration::zero())
     return Duration::zero();
@@ -122,10 +133,10 @@
       if (Each.Room_ == 0)
         continue;
       const double Wait = seconds(Each.wait(Job.Needs_));
-      const double RunTime =
-          seconds(Each.Expected_) * Each.Report_->Slowness_;
+      const double RunTime = seconds(Each.Expected_) * Each.Report_->Slowness_;
       const double Late = std::max(0.0, Wait + RunTime - OnTime);
-      const double Score = LateWeight * Late + WaitWeight * Wait + RunTime +
+      const double Score = LateWeight * Late + WaitWeight * Wait +
+                           RunTime * (1.0 + FillWeight * Each.fill()) +
                            Draw_() * TieSeconds +
                            (Each.Name_ == Avoid ? AvoidSeconds : 0.0);
       if (Best == nullptr || Score < BestScore) {
--- a/packages/request/src/wait_forecast.cpp
+++ b/packages/request/src/wait_forecast.cpp
@@ -50,10 +50,12 @@
   TimePoint Now_;
 };
 
-Duration forecast(const std::vector<ExpectedEnd> &Running,
-                  const RunQueue &Queue, std::int64_t FreeCpu,
-                  std::int64_t TypicalCpu, double Slowness, TimePoint Now,
-                  Duration Slack) {
+} // namespace
+
+Duration forecastWait(const std::vector<ExpectedEnd> &Running,
+                      const RunQueue &Queue, std::int64_t FreeCpu,
+                      std::int64_t Cpu, double Slowness, TimePoint Now,
+                      Duration Slack) {
   Playback Play(Running, FreeCpu, Now);
   Queue.forEach([&](const WaitingRun &Waiting) {
     if (Waiting.LatestOnTime_ >= Now && Waiting.LatestOnTime_ <= Now + Slack)
@@ -61,11 +63,9 @@
           Waiting.Needs_.CpuMillicores_,
           std::chrono::duration_cast<Duration>(Waiting.Expected_ * Slowness));
   });
-  return Play.advanceTo(TypicalCpu) ? Play.now() - Now : Forever;
+  return Play.advanceTo(Cpu) ? Play.now() - Now : Forever;
 }
 
-} // namespace
-
 std::array<Duration, SlackClasses.size()>
 forecastWaits(const std::vector<ExpectedEnd> &Running, const RunQueue &Queue,
               std::int64_t FreeCpu, std::int64_t TypicalCpu, double Slowness,
@@ -74,8 +74,8 @@
   if (Queue.empty() && FreeCpu >= TypicalCpu)
     return Waits;
   for (std::size_t I = 0; I < Waits.size(); ++I)
-    Waits[I] = forecast(Running, Queue, FreeCpu, TypicalCpu, Slowness, Now,
-                        SlackClasses[I]);
+    Waits[I] = forecastWait(Running, Queue, FreeCpu, TypicalCpu, Slowness, Now,
+                            SlackClasses[I]);
   return Waits;
 }
 
