Test the agent against a minion that loses replies and is late

Found by the test: looks at a minion that does not answer renewed leases in the agent's books, so lapsed runs were never reported.

--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -28,7 +28,8 @@
 
 /// \brief Renewal of all leases, with a look at the lists.
 struct HoldCall {
-  std::int64_t LeaseEndMs_ = 0;
+  /// Empty to look without renewing.
+  std::optional<std::int64_t> LeaseEndMs_;
   std::int64_t FencingToken_ = 0;
   /// Last end that the minion may forget.
   std::int64_t Observed_ = 0;
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -292,7 +292,10 @@
   const TimePoint Now = Hooks_.Now_();
   LookedAt_ = Now;
   HoldCall Call;
-  Call.LeaseEndMs_ = Gate_.grantLease(Now);
+  // A minion that does not reply might renew all the same, and the end of the
+  // leases would never be known.
+  if (MissedLooks_ < Options_.MaxMissedLooks_)
+    Call.LeaseEndMs_ = Gate_.grantLease(Now);
   Call.FencingToken_ = FencingToken_;
   Call.Observed_ = Gate_.observed();
   // Without runs there is no end to wait for.
--- /dev/null
+++ b/tests/standins/fake_run_minion.cpp
@@ -0,0 +1,222 @@
+#include "standins/fake_run_minion.h"
+
+#include <algorithm>
+
+namespace wigeonwall::standins {
+
+using process::dispatch::HoldCall;
+using process::dispatch::HoldReply;
+using process::dispatch::StartCall;
+using request::Duration;
+using request::RunEnd;
+using request::RunKey;
+using request::StartReply;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration ReplyDelay = 1ms;
+constexpr Duration OrderTimeout = 120ms;
+constexpr Duration HoldGrace = 100ms;
+constexpr Duration LateBy = 3s;
+constexpr Duration PollPeriod = 1ms;
+
+} // namespace
+
+FakeRunMinion::FakeRunMinion(VirtualTime &Loop, request::Resources Capacity)
+    : Loop_(Loop), Capacity_(Capacity), Born_(Loop.now()) {}
+
+CallFault FakeRunMinion::next(std::vector<CallFault> &Faults) {
+  if (Faults.empty())
+    return CallFault::None;
+  const CallFault Result = Faults.front();
+  Faults.erase(Faults.begin());
+  return Result;
+}
+
+std::int64_t FakeRunMinion::clockMs() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Loop_.now() -
+                                                               Born_)
+             .count() +
+         10'000;
+}
+
+request::MinionReport FakeRunMinion::report(bool Draining) {
+  request::MinionReport Result;
+  Result.Life_ = {"minion-1", BornMs_};
+  Result.Sequence_ = ++Sequence_;
+  Result.Address_ = "127.0.0.1:1";
+  Result.Service_ = "permit-desk";
+  Result.Capacity_ = Capacity_;
+  Result.Draining_ = Draining;
+  Result.ClockMs_ = clockMs();
+  return Result;
+}
+
+void FakeRunMinion::restart() {
+  Runs_.clear();
+  Ended_.clear();
+  Refused_.clear();
+  Token_ = LeaseEndMs_ = Observed_ = Sequence_ = 0;
+  NextEnd_ = 1;
+  BornMs_ += 1'000;
+  Born_ = Loop_.now();
+  ++Life_;
+}
+
+void FakeRunMinion::end(const RunKey &Key, RunEnd How) {
+  Runs_.erase(Key);
+  Ended_.push_back({NextEnd_++, Key, How});
+  auto &Least = Refused_[Key.Task_];
+  Least = std::max(Least, Key.Number_);
+}
+
+void FakeRunMinion::update() {
+  std::vector<std::pair<RunKey, RunEnd>> Over;
+  for (const auto &[Key, Which] : Runs_) {
+    if (clockMs() > LeaseEndMs_)
+      Over.emplace_back(Key, RunEnd::Lapsed);
+    else if (Stuck_.count(Key.Task_) == 0 && Loop_.now() >= Which.Ends_)
+      Over.emplace_back(Key, Failing_.count(Key.Task_) != 0 ? RunEnd::Failed
+                                                             : RunEnd::Done);
+  }
+  for (const auto &[Key, How] : Over)
+    end(Key, How);
+}
+
+StartReply FakeRunMinion::applyStart(const StartCall &Call) {
+  update();
+  if (Call.FencingToken_ < Token_)
+    return StartReply::Fenced;
+  Token_ = Call.FencingToken_;
+  LeaseEndMs_ = std::max(LeaseEndMs_, Call.LeaseEndMs_);
+  if (clockMs() > Call.LeaseEndMs_)
+    return StartReply::TooLate;
+  if (Runs_.count(Call.Key_) != 0)
+    return StartReply::Started;
+  const auto Least = Refused_.find(Call.Key_.Task_);
+  if (Least != Refused_.end() && Call.Key_.Number_ <= Least->second)
+    return StartReply::OldNumber;
+  for (const auto &[Key, Which] : Runs_)
+    if (Key.Task_ == Call.Key_.Task_)
+      Breaches_.push_back("two runs of " + Key.Task_);
+  Runs_[Call.Key_] = {Loop_.now(), Loop_.now() + RunTime_};
+  ++Starts_[Call.Key_.Task_];
+  const auto Count = static_cast<std::int64_t>(Runs_.size());
+  if (Count * Needs_.CpuMillicores_ > Capacity_.CpuMillicores_)
+    Breaches_.push_back("over capacity at " + Call.Key_.Task_);
+  return StartReply::Started;
+}
+
+void FakeRunMinion::applyStop(const RunKey &Key) {
+  update();
+  auto &Least = Refused_[Key.Task_];
+  Least = std::max(Least, Key.Number_);
+  if (Runs_.count(Key) != 0)
+    end(Key, RunEnd::Stopped);
+}
+
+void FakeRunMinion::applyHold(const HoldCall &Call) {
+  Token_ = std::max(Token_, Call.FencingToken_);
+  if (Call.LeaseEndMs_)
+    LeaseEndMs_ = std::max(LeaseEndMs_, std::min(*Call.LeaseEndMs_,
+                                                 clockMs() + 1'000));
+  Observed_ = std::max(Observed_, Call.Observed_);
+  std::erase_if(Ended_, [this](const auto &Row) {
+    return Row.Position_ <= Observed_;
+  });
+}
+
+void FakeRunMinion::answerHold(std::function<void(HoldReply)> Done) {
+  HoldReply Reply;
+  request::RunListing Listing;
+  Listing.MinionClockMs_ = clockMs();
+  for (const auto &[Key, Which] : Runs_) {
+    const bool Stuck = Stuck_.count(Key.Task_) != 0;
+    const int Percent = static_cast<int>(100 * (Loop_.now() - Which.Began_) /
+                                         RunTime_);
+    Listing.Running_.push_back({Key, Stuck ? 0 : std::min(99, Percent)});
+  }
+  Listing.Ended_ = Ended_;
+  Reply.Listing_ = std::move(Listing);
+  Loop_.after(ReplyDelay, [Done, Reply] { Done(Reply); });
+}
+
+namespace {
+
+/// Drops a reply to a process that is gone.
+template <typename Callback>
+auto whileAlive(std::shared_ptr<const bool> Alive, Callback Done) {
+  return [Alive = std::move(Alive), Done = std::move(Done)](auto... Reply) {
+    if (*Alive)
+      Done(Reply...);
+  };
+}
+
+} // namespace
+
+process::dispatch::MinionCalls
+FakeRunMinion::calls(std::shared_ptr<const bool> Alive) {
+  process::dispatch::MinionCalls Result;
+  Result.Start_ = [this, Alive](const auto &, const StartCall &Call,
+                              auto Reply) {
+    const std::function<void(StartReply, const std::string &)> Done =
+        whileAlive(Alive, Reply);
+    const CallFault Fault = Reachable_ ? next(StartFaults_)
+                                       : CallFault::AppliedLate;
+    if (Fault == CallFault::AppliedLate)
+      Loop_.after(LateBy, [this, Call, Life = Life_] {
+        if (Life == Life_)
+          (void)applyStart(Call);
+      });
+    const StartReply Answer = Fault == CallFault::AppliedLate
+                                 ? StartReply::Unknown
+                                 : applyStart(Call);
+    if (Fault == CallFault::None)
+      return Loop_.after(ReplyDelay, [Done, Answer] { Done(Answer, ""); });
+    Loop_.after(OrderTimeout, [Done] { Done(StartReply::Unknown, "lost"); });
+  };
+  Result.Stop_ = [this, Alive](const auto &, const RunKey &Key, auto,
+                             auto Reply) {
+    const std::function<void(bool)> Done = whileAlive(Alive, Reply);
+    const CallFault Fault = Reachable_ ? next(StopFaults_)
+                                       : CallFault::AppliedLate;
+    if (Fault != CallFault::AppliedLate)
+      applyStop(Key);
+    if (Fault == CallFault::None)
+      return Loop_.after(ReplyDelay, [Done] { Done(true); });
+    Loop_.after(OrderTimeout, [Done] { Done(false); });
+  };
+  Result.Hold_ = [this, Alive](const auto &, const HoldCall &Call, auto Reply) {
+    const std::function<void(HoldReply)> Done = whileAlive(Alive, Reply);
+    const CallFault Fault = Reachable_ ? next(HoldFaults_)
+                                       : CallFault::AppliedLate;
+    if (Call.FencingToken_ < Token_)
+      return Loop_.after(ReplyDelay, [Done] {
+        HoldReply Refused;
+        Refused.Fenced_ = true;
+        Done(Refused);
+      });
+    if (Fault != CallFault::AppliedLate)
+      applyHold(Call);
+    if (Fault != CallFault::None)
+      return Loop_.after(Call.Wait_ + HoldGrace, [Done] {
+        HoldReply Lost;
+        Lost.Detail_ = "lost";
+        Done(Lost);
+      });
+    const auto Until = Loop_.now() + Call.Wait_;
+    auto Poll = std::make_shared<std::function<void()>>();
+    const std::weak_ptr<std::function<void()>> Weak = Poll;
+    *Poll = [this, Until, Done, Weak] {
+      update();
+      if (!Ended_.empty() || Loop_.now() >= Until)
+        return answerHold(Done);
+      Loop_.after(PollPeriod, [Again = Weak.lock()] { (*Again)(); });
+    };
+    (*Poll)();
+  };
+  return Result;
+}
+
+} // namespace wigeonwall::standins
--- /dev/null
+++ b/tests/unit/run_agent_test.cpp
@@ -0,0 +1,289 @@
+/// \file
+/// \brief Guards one minion against everything an agent can do to it: more than
+/// it holds, two runs of a task, runs for owners that are gone; and callers
+/// against an agent that stops working after trouble.
+#include "standins/fake_run_minion.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall;
+using namespace wigeonwall::standins;
+using namespace std::chrono_literals;
+using process::dispatch::RunAgent;
+using process::dispatch::RunOrder;
+using process::dispatch::RunOutcome;
+using request::RunEnd;
+
+namespace {
+
+constexpr request::Resources TaskNeeds{3'000, 64, 0};
+
+struct Fixture {
+  VirtualTime Loop_;
+  FakeRunMinion Minion_{Loop_, {32'000, 65'536, 0}};
+  std::vector<std::pair<std::string, RunOutcome>> Outcomes_;
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
+  std::unique_ptr<RunAgent> Agent_;
+
+  Fixture() {
+    Minion_.Needs_ = TaskNeeds;
+    newAgent(1'000'000);
+  }
+
+  /// The process dies, and another takes its place.
+  void newAgent(std::int64_t Token) {
+    *Alive_ = false;
+    Alive_ = std::make_shared<bool>(true);
+    process::dispatch::RunAgentHooks Hooks;
+    Hooks.Now_ = Loop_.clock();
+    Hooks.Minion_ = Minion_.calls(Alive_);
+    Hooks.SendOutcome_ = [this](const auto &Owner, const auto &Outcome) {
+      Outcomes_.emplace_back(Owner, Outcome);
+    };
+    Hooks.StateChanged_ = [] {};
+    Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
+    Agent_ = std::make_unique<RunAgent>(process::dispatch::RunAgentOptions{},
+                                        Hooks, Token);
+    Agent_->onMinionReport(Minion_.report());
+    advance(50ms);
+  }
+
+  void advance(request::Duration Span) {
+    for (request::Duration Passed{}; Passed < Span; Passed += 25ms) {
+      Loop_.advance(25ms);
+      Agent_->tick();
+    }
+  }
+
+  void order(const std::string &Job, std::uint32_t Tasks,
+             const std::string &Owner = "entry-1", bool MayMove = false) {
+    RunOrder Order;
+    Order.Job_ = Job;
+    Order.Service_ = "permit-desk";
+    Order.Payload_ = "payload";
+    Order.Needs_ = TaskNeeds;
+    Order.Expected_ = 100ms;
+    Order.OnTimeIn_ = 200ms;
+    Order.UsefulIn_ = 2s;
+    Order.Patience_ = 10ms;
+    Order.MayMove_ = MayMove;
+    for (std::uint32_t I = 0; I < Tasks; ++I)
+      Order.Tasks_.push_back({I, 1});
+    Agent_->onOrder(Owner, Order);
+  }
+
+  std::size_t count(RunEnd End) const {
+    return static_cast<std::size_t>(
+        std::count_if(Outcomes_.begin(), Outcomes_.end(),
+                      [End](const auto &Each) {
+                        return Each.second.End_ == End;
+                      }));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(run_agent, Fixture)
+
+BOOST_AUTO_TEST_CASE(runs_a_job_and_acknowledges_its_ends) {
+  order("a", 3);
+  advance(300ms);
+  BOOST_TEST(count(RunEnd::Done) == 3u);
+  BOOST_TEST(Minion_.observed() == 3);
+  BOOST_TEST(Agent_->runCount() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(never_exceeds_the_capacity) {
+  for (int I = 0; I < 10; ++I)
+    order("job" + std::to_string(I), 8);
+  advance(3s);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(count(RunEnd::Done) == 80u);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_the_room_of_an_unanswered_start) {
+  Minion_.StartFaults_.assign(10, CallFault::ReplyLost);
+  Minion_.RunTime_ = 1s;
+  order("a", 10);
+  order("b", 10);
+  advance(5s);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(count(RunEnd::Done) == 20u);
+}
+
+BOOST_AUTO_TEST_CASE(stops_an_order_that_may_be_carried_out_late) {
+  Minion_.StartFaults_.assign(10, CallFault::AppliedLate);
+  order("a", 10);
+  advance(400ms);
+  BOOST_TEST(count(RunEnd::NeverRan) == 10u);
+  order("b", 10);
+  advance(4s);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(Minion_.Starts_.count("a/0") == 0u);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+}
+
+BOOST_AUTO_TEST_CASE(holds_the_room_until_a_lost_stop_is_repeated) {
+  Minion_.StartFaults_ = {CallFault::AppliedLate};
+  Minion_.StopFaults_ = {CallFault::AppliedLate, CallFault::AppliedLate};
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(Agent_->report().Free_.CpuMillicores_ == 29'000);
+  advance(1s);
+  BOOST_TEST(Agent_->report().Free_.CpuMillicores_ == 32'000);
+}
+
+// Without it, an end stays unseen until a waiting hold has timed out.
+BOOST_AUTO_TEST_CASE(sees_ends_soon_when_a_hold_is_lost) {
+  Minion_.HoldFaults_ = {CallFault::ReplyLost};
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(one_lost_hold_does_not_refuse_work) {
+  Minion_.HoldFaults_ = {CallFault::ReplyLost};
+  order("a", 1);
+  advance(150ms);
+  BOOST_TEST(Agent_->report().Accepting_);
+}
+
+// An agent that lost its minion while nothing ran never came back to work.
+BOOST_AUTO_TEST_CASE(returns_to_work_after_the_minion_was_silent) {
+  order("a", 1);
+  Minion_.Reachable_ = false;
+  advance(3s);
+  BOOST_TEST(!Agent_->report().Accepting_);
+  BOOST_TEST(Agent_->runCount() == 0u);
+  Minion_.Reachable_ = true;
+  advance(1s);
+  BOOST_TEST(Agent_->report().Accepting_);
+}
+
+// Looks at a silent minion must not renew leases, or they would never end.
+BOOST_AUTO_TEST_CASE(reports_runs_as_lapsed_only_after_their_lease) {
+  Minion_.RunTime_ = 5s;
+  order("a", 1);
+  advance(100ms);
+  Minion_.Reachable_ = false;
+  advance(900ms);
+  BOOST_TEST(count(RunEnd::Lapsed) == 0u);
+  advance(700ms);
+  BOOST_TEST(count(RunEnd::Lapsed) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ends_the_runs_of_an_owner_that_is_gone) {
+  Minion_.RunTime_ = 5s;
+  order("a", 12);
+  advance(100ms);
+  Agent_->onOwnerGone("entry-1");
+  advance(200ms);
+  BOOST_TEST(Minion_.running() == 0u);
+  BOOST_TEST(Agent_->queueLength() == 0u);
+  BOOST_TEST(Outcomes_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(tells_what_of_a_cancelled_job_has_run) {
+  Minion_.RunTime_ = 1s;
+  order("a", 12);
+  advance(100ms);
+  Agent_->onCancel("entry-1", "a");
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Stopped) == 10u);
+  BOOST_TEST(count(RunEnd::NeverRan) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_agent_ends_the_runs_of_the_earlier_one) {
+  Minion_.RunTime_ = 800ms;
+  order("a", 10);
+  advance(100ms);
+  newAgent(2'000'000);
+  order("b", 10);
+  advance(1s);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+}
+
+BOOST_AUTO_TEST_CASE(passes_the_token_of_an_agent_whose_clock_was_ahead) {
+  order("a", 1);
+  advance(200ms);
+  newAgent(1'000'000 - 5'000);
+  order("b", 1);
+  advance(1s);
+  order("c", 1);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Done) >= 2u);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_life_with_the_same_id_starts_from_nothing) {
+  Minion_.RunTime_ = 5s;
+  order("a", 10);
+  advance(100ms);
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  BOOST_TEST(count(RunEnd::Lost) == 10u);
+  Minion_.RunTime_ = 100ms;
+  advance(100ms);
+  order("b", 10);
+  advance(300ms);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_of_an_earlier_life_changes_nothing) {
+  const request::MinionReport Old = Minion_.report();
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(100ms);
+  Agent_->onMinionReport(Old);
+  advance(100ms);
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(starts_nothing_on_a_draining_minion) {
+  order("a", 12);
+  Agent_->onMinionReport(Minion_.report(true));
+  order("b", 1);
+  advance(300ms);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+  BOOST_TEST(count(RunEnd::NeverRan) == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(hands_back_what_would_wait_longer_than_predicted) {
+  Minion_.RunTime_ = 500ms;
+  order("a", 10);
+  order("b", 2, "entry-1", true);
+  BOOST_TEST(count(RunEnd::NeverRan) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(ends_a_run_that_stands_still) {
+  Minion_.Stuck_ = {"a/0"};
+  order("a", 1);
+  advance(900ms);
+  BOOST_TEST(count(RunEnd::Stopped) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(keeps_work_off_a_minion_that_fails_all) {
+  for (int I = 0; I < 8; ++I) {
+    Minion_.Failing_.insert("job" + std::to_string(I) + "/0");
+    order("job" + std::to_string(I), 1);
+  }
+  advance(300ms);
+  BOOST_TEST(!Agent_->report().Accepting_);
+}
+
+// A minion that was slow got no work that could have shown its recovery.
+BOOST_AUTO_TEST_CASE(slowness_fades_without_runs) {
+  Minion_.RunTime_ = 600ms;
+  for (int I = 0; I < 10; ++I) {
+    order("job" + std::to_string(I), 10);
+    advance(700ms);
+  }
+  BOOST_TEST(Agent_->report().Slowness_ > 2.0);
+  advance(10s);
+  BOOST_TEST(Agent_->report().Slowness_ < 1.2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
