Notice minions that turn slow from their runs under way

Load: a minion that turns 4 to 6 times slower while it is full showed it only at the first end. Progress in each listing now raises its slowness once it has nearly doubled, and runs with too long a rest are stopped and start anew elsewhere.

--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -86,6 +86,9 @@
   int MaxMissedLooks_ = 3;
   /// Factor on expected times of a run that is taken to stand still.
   double StuckFactor_ = 4.0;
+  /// A run that will take this many times its expected time from now on is
+  /// stopped, so that it can start anew on a sound minion.
+  double TooSlowFactor_ = 2.5;
   /// Least time before a run is taken to stand still.
   request::Duration StuckAfter_ = std::chrono::milliseconds(400);
 };
@@ -151,7 +154,10 @@
   void onHoldReply(HoldReply Reply, request::TimePoint AskedAt, bool AtOnce);
   void onMissedLook(const std::string &Detail);
   void noteProgress(const request::RunListing &Listing);
+  /// Raises the slowness as soon as runs under way show it.
+  void learnFromProgress();
   void stopUseless();
+  [[nodiscard]] bool isTooSlow(const Run &Which) const;
   void settle(const std::vector<request::SettledRun> &Settled);
   void settle(const request::SettledRun &Settled);
   void learn(const Run &Ended, request::RunEnd End);
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -23,6 +23,21 @@
 constexpr double LeastSlowness = 0.25;
 constexpr double MostSlowness = 10.0;
 
+/// Runs under way count once this much time shows their speed, and weigh more
+/// than ended ones, since the slowest end last.
+constexpr Duration ProgressSpan = std::chrono::milliseconds(60);
+constexpr double ProgressWeight = 0.25;
+/// Estimates of single runs are off by up to a half.
+constexpr int LeastSamples = 3;
+constexpr double WholePercent = 100.0;
+/// Mean slowness of runs under way over the known one that is no chance; only
+/// raising it at smaller steps would make all minions look slow.
+constexpr double LeastSlowdown = 1.8;
+
+double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
 /// Time in which a slowness without new runs returns most of the way to
 /// nominal. A minion that was slow for a while gets no runs that could show its
 /// recovery.
@@ -353,6 +368,36 @@
     Found->second.Percent_ = Row.Percent_;
     Found->second.ProgressAt_ = Now;
   }
+  learnFromProgress();
+}
+
+void RunAgent::learnFromProgress() {
+  double Sum = 0;
+  int Count = 0;
+  for (const auto &[Key, Which] : Runs_) {
+    const Duration Elapsed = Which.ProgressAt_ - Which.Began_;
+    if (Elapsed < ProgressSpan || Which.Percent_ == 0 ||
+        Which.Expected_ <= Duration::zero())
+      continue;
+    const double Whole = seconds(Elapsed) * WholePercent / Which.Percent_;
+    Sum += std::clamp(Whole / seconds(Which.Expected_), LeastSlowness,
+                      MostSlowness);
+    ++Count;
+  }
+  if (Count < LeastSamples || Sum / Count < LeastSlowdown * Slowness_)
+    return;
+  Slowness_ += ProgressWeight * (Sum / Count - Slowness_);
+}
+
+bool RunAgent::isTooSlow(const Run &Which) const {
+  const Duration Elapsed = Which.ProgressAt_ - Which.Began_;
+  // A wrong estimate of one run looks alike; the others show which it is.
+  if (Slowness_ < Options_.TooSlowFactor_ || Which.Percent_ == 0 ||
+      Elapsed < ProgressSpan)
+    return false;
+  const double Rest =
+      seconds(Elapsed) * (WholePercent - Which.Percent_) / Which.Percent_;
+  return Rest > Options_.TooSlowFactor_ * seconds(Which.Expected_);
 }
 
 void RunAgent::stopUseless() {
@@ -363,6 +408,8 @@
                                   Which.Expected_ * Options_.StuckFactor_));
     if (Now > Which.UsefulBy_)
       stop(Key, Which, "caller_timeout");
+    else if (isTooSlow(Which))
+      stop(Key, Which, "too_slow");
     else if (Which.Percent_ < 100 && Now - Which.ProgressAt_ > Patience)
       stop(Key, Which, "no_progress");
   }
@@ -407,8 +454,7 @@
   if (End != RunEnd::Done || Ended.Expected_ <= Duration::zero())
     return;
   const double Ratio =
-      std::chrono::duration<double>(Hooks_.Now_() - Ended.Began_).count() /
-      std::chrono::duration<double>(Ended.Expected_).count();
+      seconds(Hooks_.Now_() - Ended.Began_) / seconds(Ended.Expected_);
   Slowness_ += AverageWeight *
                (std::clamp(Ratio, LeastSlowness, MostSlowness) - Slowness_);
 }
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -22,6 +22,7 @@
   VirtualTime Loop_;
   FakeRunMinion Minion_{Loop_, {32'000, 65'536, 0}};
   std::vector<std::pair<std::string, RunOutcome>> Outcomes_;
+  request::Duration Expected_ = 100ms;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RunAgent> Agent_;
 
@@ -62,9 +63,9 @@
     Order.Service_ = "permit-desk";
     Order.Payload_ = "payload";
     Order.Needs_ = TaskNeeds;
-    Order.Expected_ = 100ms;
-    Order.OnTimeIn_ = 200ms;
-    Order.UsefulIn_ = 2s;
+    Order.Expected_ = Expected_;
+    Order.OnTimeIn_ = 2 * Expected_;
+    Order.UsefulIn_ = 20 * Expected_;
     Order.Patience_ = 10ms;
     Order.MayMove_ = MayMove;
     for (std::uint32_t I = 0; I < Tasks; ++I)
@@ -73,11 +74,9 @@
   }
 
   std::size_t count(RunEnd End) const {
-    return static_cast<std::size_t>(
-        std::count_if(Outcomes_.begin(), Outcomes_.end(),
-                      [End](const auto &Each) {
-                        return Each.second.End_ == End;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        Outcomes_.begin(), Outcomes_.end(),
+        [End](const auto &Each) { return Each.second.End_ == End; }));
   }
 };
 
@@ -103,7 +102,7 @@
 
 BOOST_AUTO_TEST_CASE(keeps_the_room_of_an_unanswered_start) {
   Minion_.StartFaults_.assign(10, CallFault::ReplyLost);
-  Minion_.RunTime_ = 1s;
+  Minion_.RunTime_ = Expected_ = 1s;
   order("a", 10);
   order("b", 10);
   advance(5s);
@@ -162,7 +161,7 @@
 
 // Looks at a silent minion must not renew leases, or they would never end.
 BOOST_AUTO_TEST_CASE(reports_runs_as_lapsed_only_after_their_lease) {
-  Minion_.RunTime_ = 5s;
+  Minion_.RunTime_ = Expected_ = 5s;
   order("a", 1);
   advance(100ms);
   Minion_.Reachable_ = false;
@@ -173,7 +172,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(ends_the_runs_of_an_owner_that_is_gone) {
-  Minion_.RunTime_ = 5s;
+  Minion_.RunTime_ = Expected_ = 5s;
   order("a", 12);
   advance(100ms);
   Agent_->onOwnerGone("entry-1");
@@ -184,7 +183,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(tells_what_of_a_cancelled_job_has_run) {
-  Minion_.RunTime_ = 1s;
+  Minion_.RunTime_ = Expected_ = 1s;
   order("a", 12);
   advance(100ms);
   Agent_->onCancel("entry-1", "a");
@@ -194,7 +193,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_new_agent_ends_the_runs_of_the_earlier_one) {
-  Minion_.RunTime_ = 800ms;
+  Minion_.RunTime_ = Expected_ = 800ms;
   order("a", 10);
   advance(100ms);
   newAgent(2'000'000);
@@ -252,7 +251,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(hands_back_what_would_wait_longer_than_predicted) {
-  Minion_.RunTime_ = 500ms;
+  Minion_.RunTime_ = Expected_ = 500ms;
   order("a", 10);
   order("b", 2, "entry-1", true);
   BOOST_TEST(count(RunEnd::NeverRan) == 2u);
@@ -265,6 +264,22 @@
   BOOST_TEST(count(RunEnd::Stopped) == 1u);
 }
 
+// The load: a minion that turns six times slower while it is full. Waiting for
+// the first slow end would show it only when all its runs are late.
+BOOST_AUTO_TEST_CASE(runs_under_way_show_a_minion_that_turned_slow) {
+  Minion_.RunTime_ = 600ms;
+  order("a", 10);
+  advance(250ms);
+  BOOST_TEST(Agent_->report().Slowness_ > 2.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_far_too_slow_may_start_anew_elsewhere) {
+  Minion_.RunTime_ = 1s;
+  order("a", 10);
+  advance(600ms);
+  BOOST_TEST(count(RunEnd::Stopped) == 10u);
+}
+
 BOOST_AUTO_TEST_CASE(keeps_work_off_a_minion_that_fails_all) {
   for (int I = 0; I < 8; ++I) {
     Minion_.Failing_.insert("job" + std::to_string(I) + "/0");
