--- a/packages/process/include/wigeonwall/process/dispatch/agent_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/agent_links.h
@@ -57,6 +57,8 @@
     std::string SessionId_;
     /// Whether the agent has confirmed this session.
     bool Established_ = false;
+    /// Last report; the next ones leave out what has not changed.
+    request::AgentReport Report_;
     request::TimePoint AttemptAt_;
     request::TimePoint HeardAt_;
     request::TimePoint SentAt_;
--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,10 @@
   void onAgentLost(const std::string &Agent, request::TimePoint SafeAt);
   /// \brief Ends a job without an answer; false when it is not under way.
   bool cancel(const std::string &Job, JobReason Why);
+  /// \brief Refuses jobs that may not end by \p Deadline from now on, and ends
+  /// what is left then, so that every caller is answered before the process
+  /// ends.
+  void beginLeaving(request::TimePoint Deadline) { LeaveBy_ = Deadline; }
   /// \brief Handles what is due; call about every TickPeriod.
   void tick();
 
@@ -192,6 +197,7 @@
   request::FleetView &View_;
   JobDispatcherHooks Hooks_;
   std::map<std::string, Job> Jobs_;
+  std::optional<request::TimePoint> LeaveBy_;
 };
 
 } // namespace wigeonwall::process::dispatch
--- a/packages/process/include/wigeonwall/process/dispatch/messages.h
+++ b/packages/process/include/wigeonwall/process/dispatch/messages.h
@@ -63,9 +63,14 @@
 [[nodiscard]] Json::Value encodeOutcome(const RunOutcome &Outcome);
 [[nodiscard]] std::optional<RunOutcome> decodeOutcome(const Json::Value &Value,
                                                       MessageFault &Why);
-[[nodiscard]] Json::Value encodeReport(const request::AgentReport &Report);
+/// \brief Encodes a report; what seldom changes (service, labels, capacity) is
+/// left out unless \p Whole, since entries read thousands of reports a second.
+[[nodiscard]] Json::Value encodeReport(const request::AgentReport &Report,
+                                       bool Whole);
+/// \brief Decodes a report; takes what it leaves out from \p Before.
 [[nodiscard]] std::optional<request::AgentReport>
-decodeReport(const Json::Value &Value, MessageFault &Why);
+decodeReport(const Json::Value &Value, const request::AgentReport &Before,
+             MessageFault &Why);
 
 } // namespace wigeonwall::process::dispatch
 
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -40,8 +40,8 @@
 
   [[nodiscard]] bool listen() { return Listener_.listen(); }
   void sendOutcome(const std::string &Owner, const RunOutcome &Outcome);
-  /// \brief Sends the state to all entries soon; calls within ReportPeriod
-  /// share one report.
+  /// \brief Sends the state to all entries soon; calls within a
+  /// period share one report.
   void reportSoon();
   /// \brief Heartbeats and time bounds; call about every 50 ms.
   void tick();
@@ -60,6 +60,8 @@
     Link Link_;
     connection::PeerSession Session_;
     request::TimePoint HeardAt_;
+    /// Number of the last change that the owner was told of in whole.
+    std::uint64_t ToldChange_ = 0;
   };
 
   void onAccept(const Link &Accepted);
@@ -67,6 +69,9 @@
   void onMessage(const std::string &Name, connection::PeerMessage Message);
   void remove(const std::string &Name, const std::string &Why);
   void sendReports();
+  /// Counts changes of what reports leave out.
+  void noteChange(const request::AgentReport &Report);
+  [[nodiscard]] request::Duration reportPeriod() const;
   /// Tells one entry at once why its order was declined.
   void sendReport(Owner &To);
 
@@ -75,6 +80,8 @@
   connection::PeerListener Listener_;
   connection::asio::steady_timer ReportTimer_;
   bool ReportDue_ = false;
+  request::AgentReport Reported_;
+  std::uint64_t Change_ = 1;
   /// Entries that got a report in this turn of the loop.
   std::set<std::string> Told_;
   request::TimePoint ReportedAt_;
--- a/packages/process/src/dispatch/agent_links.cpp
+++ b/packages/process/src/dispatch/agent_links.cpp
@@ -81,9 +81,10 @@
     return;
   MessageFault Why;
   if (Message.Method_ == "report") {
-    auto Report = decodeReport(Message.Params_, Why);
+    auto Report = decodeReport(Message.Params_, Which.Report_, Why);
     if (Report) {
       Report->Included_ = Message.Acknowledged_;
+      Which.Report_ = *Report;
       return Hooks_.OnReport_(Name, std::move(*Report));
     }
   } else if (Message.Method_ == "outcome") {
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -84,6 +84,8 @@
     return;
   }
   const Timing Times = timing(Spec, Policy);
+  if (LeaveBy_ && Hooks_.Now_() + Times.Objective_ > *LeaveBy_)
+    return refuse(Spec.Id_, Reply, JobReason::ShuttingDown, {}, "");
   const auto Places =
       View_.place(Spec, Policy.Service_, Spec.TaskCount_, Times.Slack_, "", {});
   if (Places.empty())
@@ -255,6 +257,10 @@
     Job &Its = Which->second;
     if (Its.Ending_)
       continue;
+    if (LeaveBy_ && Now >= *LeaveBy_) {
+      beginEnding(Which, JobReason::ShuttingDown);
+      continue;
+    }
     if (Now >= Its.UsefulBy_) {
       beginEnding(Which, JobReason::CallerTimeout);
       continue;
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -6,6 +6,11 @@
 
 constexpr std::uint32_t MaxTasks = 10'000;
 
+/// Slowness is sent in thousandths.
+constexpr double SlownessUnit = 1'000.0;
+/// Fields of a report's state before the waits.
+constexpr Json::ArrayIndex StateFields = 5;
+
 std::int64_t microseconds(request::Duration Value) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Value).count();
 }
@@ -118,37 +123,49 @@
   });
 }
 
-Json::Value encodeReport(const request::AgentReport &Report) {
+Json::Value encodeReport(const request::AgentReport &Report, bool Whole) {
   Json::Value Result(Json::objectValue);
-  Result["accepting"] = Report.Accepting_;
-  Result["service"] = Report.Service_;
-  Json::Value &Labels = Result["labels"] = Json::Value(Json::arrayValue);
-  for (const std::string &Label : Report.Labels_)
-    Labels.append(Label);
-  Result["capacity"] = encodeResources(Report.Capacity_);
-  Result["free"] = encodeResources(Report.Free_);
-  Json::Value &Waits = Result["waits_us"] = Json::Value(Json::arrayValue);
+  // [accepting, free..., slowness, waits...]; short, because it is read often.
+  Json::Value &State = Result["state"] = Json::Value(Json::arrayValue);
+  State.append(Report.Accepting_);
+  State.append(Json::Int64(Report.Free_.CpuMillicores_));
+  State.append(Json::Int64(Report.Free_.MemoryMb_));
+  State.append(Json::Int64(Report.Free_.Gpus_));
+  State.append(static_cast<int>(Report.Slowness_ * SlownessUnit));
   for (const request::Duration Wait : Report.Waits_)
-    Waits.append(Json::Int64(microseconds(Wait)));
-  Result["slowness"] = Report.Slowness_;
-  Result["included"] = Json::UInt64(Report.Included_);
+    State.append(Json::Int64(microseconds(Wait)));
+  if (!Whole)
+    return Result;
+  Json::Value &Minion = Result["minion"] = Json::Value(Json::objectValue);
+  Minion["service"] = Report.Service_;
+  Minion["capacity"] = encodeResources(Report.Capacity_);
+  Minion["labels"] = Json::Value(Json::arrayValue);
+  for (const std::string &Label : Report.Labels_)
+    Minion["labels"].append(Label);
   return Result;
 }
 
-std::optional<request::AgentReport> decodeReport(const Json::Value &Value,
-                                                 MessageFault &Why) {
+std::optional<request::AgentReport>
+decodeReport(const Json::Value &Value, const request::AgentReport &Before,
+             MessageFault &Why) {
   return guarded<request::AgentReport>(Value, Why, [&] {
-    request::AgentReport Result;
-    Result.Accepting_ = Value["accepting"].asBool();
-    Result.Service_ = Value["service"].asString();
-    for (const Json::Value &Label : Value["labels"])
-      Result.Labels_.push_back(Label.asString());
-    Result.Capacity_ = decodeResources(Value["capacity"]);
-    Result.Free_ = decodeResources(Value["free"]);
+    request::AgentReport Result = Before;
+    const Json::Value &State = Value["state"];
+    if (!State.isArray() || State.size() != StateFields + Result.Waits_.size())
+      throw Json::LogicError("state has another number of fields");
+    Result.Accepting_ = State[0].asBool();
+    Result.Free_ = {State[1].asInt64(), State[2].asInt64(), State[3].asInt64()};
+    Result.Slowness_ = State[4].asInt() / SlownessUnit;
     for (Json::ArrayIndex I = 0; I < Result.Waits_.size(); ++I)
-      Result.Waits_[I] = fromMicroseconds(Value["waits_us"][I]);
-    Result.Slowness_ = Value["slowness"].asDouble();
-    Result.Included_ = Value["included"].asUInt64();
+      Result.Waits_[I] = fromMicroseconds(State[StateFields + I]);
+    if (!Value.isMember("minion"))
+      return Result;
+    const Json::Value &Minion = Value["minion"];
+    Result.Service_ = Minion["service"].asString();
+    Result.Capacity_ = decodeResources(Minion["capacity"]);
+    Result.Labels_.clear();
+    for (const Json::Value &Label : Minion["labels"])
+      Result.Labels_.push_back(Label.asString());
     return Result;
   });
 }
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-/// Least time between reports to the same entry. Half of the shortest slack
-/// of a 60 ms task is used up by waiting anyway; reports this old still tell
-/// free minions from busy ones.
-constexpr Duration ReportPeriod = std::chrono::milliseconds(15);
+/// Time between reports per entry, so that the reports of all agents take the
+/// same share of an entry in small and large systems: an agent has about six
+/// times as many peers as there are entries for each of them. An entry whose
+/// order is declined gets a report at once.
+constexpr Duration ReportPeriodPerOwner = std::chrono::milliseconds(5);
+constexpr Duration LeastReportPeriod = std::chrono::milliseconds(15);
 
 } // namespace
 
@@ -68,6 +70,7 @@
     Which.Link_->close();
   Which.SessionId_ = SessionId;
   Which.Link_ = Accepted;
+  Which.ToldChange_ = 0;
   Which.HeardAt_ = Hooks_.Now_();
   Hooks_.Log_(Name, "entry_connected",
               Resumed ? "session=resumed" : "session=new");
@@ -124,12 +127,17 @@
     Known->second.Link_->send(Line);
 }
 
+Duration OwnerLinks::reportPeriod() const {
+  return std::max<Duration>(LeastReportPeriod,
+                            ReportPeriodPerOwner * Owners_.size());
+}
+
 void OwnerLinks::reportSoon() {
   if (ReportDue_)
     return;
   ReportDue_ = true;
   const TimePoint Now = Hooks_.Now_();
-  const TimePoint Next = std::max(Now, ReportedAt_ + ReportPeriod);
+  const TimePoint Next = std::max(Now, ReportedAt_ + reportPeriod());
   ReportTimer_.expires_after(Next - Now);
   ReportTimer_.async_wait([this](auto Cancelled) {
     if (!Cancelled)
@@ -137,19 +145,37 @@
   });
 }
 
+void OwnerLinks::noteChange(const request::AgentReport &Report) {
+  if (Report.Service_ != Reported_.Service_ ||
+      Report.Capacity_ != Reported_.Capacity_ ||
+      Report.Labels_ != Reported_.Labels_)
+    ++Change_;
+  Reported_ = Report;
+}
+
 void OwnerLinks::sendReport(Owner &To) {
-  if (To.Link_)
-    To.Link_->send(To.Session_.unnumbered(
-        "report", request::writeJson(encodeReport(Hooks_.Report_()))));
+  if (!To.Link_)
+    return;
+  noteChange(Hooks_.Report_());
+  const bool Whole = To.ToldChange_ != Change_;
+  To.ToldChange_ = Change_;
+  To.Link_->send(To.Session_.unnumbered(
+      "report", request::writeJson(encodeReport(Reported_, Whole))));
 }
 
 void OwnerLinks::sendReports() {
   ReportDue_ = false;
   ReportedAt_ = Hooks_.Now_();
-  const std::string Body = request::writeJson(encodeReport(Hooks_.Report_()));
-  for (auto &[Name, Which] : Owners_)
-    if (Which.Link_)
-      Which.Link_->send(Which.Session_.unnumbered("report", Body));
+  noteChange(Hooks_.Report_());
+  const std::string State = request::writeJson(encodeReport(Reported_, false));
+  const std::string Whole = request::writeJson(encodeReport(Reported_, true));
+  for (auto &[Name, Which] : Owners_) {
+    if (!Which.Link_)
+      continue;
+    const std::string &Body = Which.ToldChange_ == Change_ ? State : Whole;
+    Which.ToldChange_ = Change_;
+    Which.Link_->send(Which.Session_.unnumbered("report", Body));
+  }
 }
 
 void OwnerLinks::tick() {
--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -72,11 +72,17 @@
   Report.Free_ = {-3'000, 5, 0};
   Report.Waits_ = {1ms, 2ms, 3ms, 4ms};
   Report.Slowness_ = 1.25;
-  const auto Read = decodeReport(encodeReport(Report), Why);
+  const auto Read =
+      decodeReport(encodeReport(Report, true), request::AgentReport{}, Why);
   BOOST_REQUIRE(Read);
   BOOST_TEST((Read->Free_ == Report.Free_));
   BOOST_TEST((Read->Waits_ == Report.Waits_));
   BOOST_TEST(Read->Labels_.size() == 2u);
+  Report.Accepting_ = false;
+  const auto Next = decodeReport(encodeReport(Report, false), *Read, Why);
+  BOOST_REQUIRE(Next);
+  BOOST_TEST(!Next->Accepting_);
+  BOOST_TEST(Next->Service_ == "permit-desk");
 }
 
 BOOST_AUTO_TEST_CASE(values_of_another_type_are_refused) {
@@ -88,7 +94,7 @@
     BOOST_TEST_CONTEXT(Field) BOOST_TEST(!decodeOrder(Value, Why));
   }
   BOOST_TEST(!decodeOutcome(Json::Value(3), Why));
-  BOOST_TEST(!decodeReport(Json::Value("x"), Why));
+  BOOST_TEST(!decodeReport(Json::Value("x"), request::AgentReport{}, Why));
 }
 
 BOOST_AUTO_TEST_CASE(bad_lines_are_no_messages) {
--- a/tests/unit/job_dispatcher_test.cpp
+++ b/tests/unit/job_dispatcher_test.cpp
@@ -216,6 +216,23 @@
   BOOST_TEST(!Orders_.back().second.MayMove_);
 }
 
+// A job that came 5.4 s after the SIGTERM of its entry was cut off.
+BOOST_AUTO_TEST_CASE(a_planned_stop_answers_every_caller) {
+  submit(1, "early");
+  Jobs_.beginLeaving(Time_.now() + 150ms);
+  submit(1, "job");
+  BOOST_REQUIRE(Answers_.size() == 1u);
+  BOOST_TEST((Answers_[0].Result_ == JobResult::Refused));
+  BOOST_TEST((Answers_[0].Reason_ == JobReason::ShuttingDown));
+  Jobs_.onOutcome(agentOf(0), {"other", 0, RunEnd::Done, 1, ""});
+  Time_.advance(160ms);
+  Jobs_.tick();
+  BOOST_TEST(Cancels_.size() == 1u);
+  Jobs_.onOutcome(agentOf(0), {"early", 0, RunEnd::Stopped, 1, ""});
+  BOOST_REQUIRE(Answers_.size() == 2u);
+  BOOST_TEST((Answers_[1].Result_ == JobResult::Abandoned));
+}
+
 BOOST_AUTO_TEST_CASE(outcomes_of_other_agents_and_jobs_change_nothing) {
   submit(1);
   const std::string Other = agentOf(0) == "a" ? "b" : "a";
