--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -259,6 +259,9 @@
         "run=" + std::to_string(Key.Number_) + " reply=" +
             std::string(request::findName(request::StartReplyNames, Reply)) +
             " detail=\"" + Detail + "\"");
+  // A reply of any kind shows that the minion can be reached.
+  if (Reply == StartReply::Started)
+    MissedLooks_ = 0;
   if (Reply == StartReply::Fenced)
     raiseToken();
   if (const auto Settled = Gate_.onStartReply(Key, Reply, Hooks_.Now_()))
