--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -81,6 +81,8 @@
   /// Asks an agent to end all tasks of a job; each gets an outcome.
   std::function<void(const std::string &Agent, const std::string &Job)>
       SendCancel_;
+  /// Counts an answer and its time since the submission.
+  std::function<void(JobResult Result, request::Duration After)> OnAnswered_;
   /// Records a decision on a job.
   std::function<void(const std::string &Job, const std::string &Decision,
                      const std::string &Detail)>
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -68,6 +68,8 @@
       SendOutcome_;
   /// The agent's state has changed enough to be reported.
   std::function<void()> StateChanged_;
+  /// Counts an end and the time since its start.
+  std::function<void(request::RunEnd End, request::Duration Ran)> OnEnded_;
   /// Records a decision on a run, or a change of belief.
   std::function<void(const std::string &Subject, const std::string &Decision,
                      const std::string &Detail)>
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -61,6 +61,7 @@
   Hooks_.Log_(Id, "refused",
               "reason=" + std::string(request::findName(JobReasonNames, Why)) +
                   Detail);
+  Hooks_.OnAnswered_(JobResult::Refused, Duration::zero());
   Reply(Answer);
 }
 
@@ -330,6 +331,7 @@
       "result=" + std::string(request::findName(JobResultNames, Result)) +
           " after_ms=" + inMilliseconds(Now - Which.Received_) +
           " late=" + (Now > Which.OnTimeBy_ ? "yes" : "no"));
+  Hooks_.OnAnswered_(Result, Now - Which.Received_);
   const AnswerCallback Reply = std::move(Which.Reply_);
   Which.Reply_ = nullptr;
   Reply(Answer);
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -435,6 +435,7 @@
       "run=" + std::to_string(Settled.Key_.Number_) + " end=" +
           std::string(request::findName(request::RunEndNames, Settled.End_)) +
           " ran_ms=" + inMilliseconds(Hooks_.Now_() - Ended.Began_));
+  Hooks_.OnEnded_(Settled.End_, Hooks_.Now_() - Ended.Began_);
   if (Ended.StopReason_ == "owner_gone")
     return;
   RunOutcome Outcome;
--- /dev/null
+++ b/tests/unit/dispatch_settings_test.cpp
@@ -0,0 +1,68 @@
+/// \file
+/// \brief Guards the settings of the platform's processes, and their templates.
+#include "wigeonwall/process/dispatch/dispatch_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall::process;
+using namespace wigeonwall::process::dispatch;
+
+namespace {
+
+const std::string Entry = R"([process]
+id = entry-1
+role = entry
+failure_domain = joburg-north
+peers_listen = 127.0.0.1:7720
+metrics_listen = 127.0.0.1:9464
+store = 127.0.0.1:8169
+[entry]
+callers_listen = 127.0.0.1:8161
+readiness_listen = 127.0.0.1:8167
+remote_penalty = 1.5
+)";
+
+struct FaultCase {
+  const char *From_;
+  const char *To_;
+  SettingsError Expected_;
+  const char *Position_;
+};
+
+const FaultCase FaultCases[] = {
+    {"store = 127.0.0.1:8169\n", "", SettingsError::MissingKey, "f.ini:1"},
+    {"role = entry", "role = front", SettingsError::BadValue, "f.ini:3"},
+    {"127.0.0.1:8161", "nowhere", SettingsError::BadValue, "f.ini:9"},
+    {"remote_penalty = 1.5", "remote_penalty = 0.5", SettingsError::BadValue,
+     "f.ini:11"},
+    {"remote_penalty = 1.5", "penalty = 2", SettingsError::UnknownKey,
+     "f.ini:11"},
+    {"[entry]", "[agent]", SettingsError::UnknownSection, "f.ini:8"},
+    {"9464", "7720", SettingsError::BadValue, "f.ini:1"},
+    {"id = entry-1", "id entry-1", SettingsError::Syntax, "f.ini:2"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(settings_of_an_entry_are_read) {
+  SettingsFault Why;
+  const auto Read = parseDispatchSettings(Entry, "f.ini", Why);
+  BOOST_REQUIRE_MESSAGE(Read, describe(Why));
+  BOOST_TEST(Read->Id_ == "entry-1");
+  BOOST_TEST(Read->RemotePenaltyPercent_ == 150);
+  BOOST_TEST(Read->CallersListen_.Port_ == 8161);
+}
+
+BOOST_AUTO_TEST_CASE(faults_name_their_line) {
+  for (const FaultCase &Each : FaultCases) {
+    std::string Text = Entry;
+    Text.replace(Text.find(Each.From_), std::string(Each.From_).size(),
+                 Each.To_);
+    SettingsFault Why;
+    BOOST_TEST_CONTEXT(Text) {
+      BOOST_TEST(!parseDispatchSettings(Text, "f.ini", Why));
+      BOOST_TEST((Why.Code_ == Each.Expected_));
+      BOOST_TEST(Why.Position_ == Each.Position_);
+    }
+  }
+}
--- a/tests/unit/job_dispatcher_test.cpp
+++ b/tests/unit/job_dispatcher_test.cpp
@@ -40,6 +40,7 @@
     Hooks.SendCancel_ = [this](const auto &Agent, const auto &Job) {
       Cancels_.emplace_back(Agent, Job);
     };
+    Hooks.OnAnswered_ = [](auto, auto) {};
     Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
     return Hooks;
   }
--- /dev/null
+++ b/tests/unit/platform_codec_test.cpp
@@ -0,0 +1,241 @@
+/// \file
+/// \brief Guards the boundary to the platform: what it sends is read once, and
+/// what cannot be read has no effect.
+#include "platform/caller_codec.h"
+#include "platform/config_codec.h"
+#include "platform/minion_client.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace wigeonwall;
+using namespace wigeonwall::platform;
+using namespace std::chrono_literals;
+using connection::HttpRequest;
+using connection::HttpResponse;
+using process::dispatch::JobAnswer;
+using process::dispatch::JobReason;
+using process::dispatch::JobResult;
+using request::RunEnd;
+using request::StartReply;
+
+namespace {
+
+const std::string Id = "5c0e7a21d94b36f8";
+
+HttpRequest post(const std::string &Body) {
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Target_ = "/lohu930/" + Id;
+  Request.Headers_ = {{"host", "nony24.example:80"},
+                      {"wigeonwall-deadline-ms", "3012"}};
+  Request.Body_ = Body;
+  return Request;
+}
+
+struct JobCase {
+  const char *Body_;
+  JobDecodeError Expected_;
+};
+
+const JobCase JobCases[] = {
+    {R"({"spec":"x","steps":[{"count":2,"cpu":500}],"best_effort":true})",
+     JobDecodeError::None},
+    {R"({"spec":"x","steps":[{"count":2,"cpu":500,"gang":false,"after":[]}],)"
+     R"("best_effort":true,"repeat_count":0})",
+     JobDecodeError::None},
+    {R"({"spec":"x","steps":[{"count":2,"cpu":500}]})",
+     JobDecodeError::NotServed},
+    {R"({"spec":"x","steps":[{"count":1},{"count":1}],"best_effort":true})",
+     JobDecodeError::NotServed},
+    {R"({"spec":"x","steps":[{"count":1,"gang":true}],"best_effort":true})",
+     JobDecodeError::NotServed},
+    {R"({"spec":"x","steps":[{"count":1}],"best_effort":true,)"
+     R"("long_running":true})",
+     JobDecodeError::NotServed},
+    {R"({"spec":"x","steps":[{"count":1}],"best_effort":true,)"
+     R"("repeat_count":3})",
+     JobDecodeError::NotServed},
+    {R"({"spec":"x","steps":[{"count":0}],"best_effort":true})",
+     JobDecodeError::Malformed},
+    {R"({"spec":"x","steps":[{"count":"2"}],"best_effort":true})",
+     JobDecodeError::Malformed},
+    {R"({"spec":"x","steps":{},"best_effort":true})",
+     JobDecodeError::Malformed},
+    {R"([1,2])", JobDecodeError::Malformed},
+    {"{", JobDecodeError::Malformed},
+    {"", JobDecodeError::Malformed},
+};
+
+const char *const GoodReport =
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",)"
+    R"("version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)"
+    R"("capacity":{"cpu":16000,"ram_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"clock_ms":482113,"sequence":4,"born":1777})";
+
+struct StartCase {
+  int Status_;
+  const char *Body_;
+  StartReply Expected_;
+};
+
+const StartCase StartCases[] = {
+    {200, R"({"clock_ms":1})", StartReply::Started},
+    {409, R"({"reason":"fence"})", StartReply::Fenced},
+    {409, R"({"reason":"old"})", StartReply::OldNumber},
+    {409, R"({"reason":"late"})", StartReply::TooLate},
+    {409, R"({"reason":"room"})", StartReply::NoRoom},
+    {409, R"({"reason":"other"})", StartReply::Unknown},
+    {409, "not json", StartReply::Unknown},
+    {400, "", StartReply::Malformed},
+    {421, "", StartReply::OtherLife},
+    {429, "", StartReply::Unavailable},
+    {503, "", StartReply::Unavailable},
+    {500, "", StartReply::Unknown},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(jobs_are_read_refused_or_malformed) {
+  for (const JobCase &Each : JobCases) {
+    JobDecodeFault Why;
+    const auto Job = decodeJob(Id, post(Each.Body_), Why);
+    BOOST_TEST_CONTEXT(Each.Body_) {
+      BOOST_TEST((Why.Code_ == Each.Expected_));
+      BOOST_TEST(Job.has_value() == (Each.Expected_ == JobDecodeError::None));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(fields_of_a_job_get_their_meaning) {
+  JobDecodeFault Why;
+  const auto Job =
+      decodeJob(Id,
+                post(R"({"spec":"text","best_effort":true,"steps":[{"count":4,)"
+                     R"("cpu":500,"ram_mb":256,"gpu":1,"estimated_ms":900,)"
+                     R"("preferred_rack":"r1-3","requirements":"a",)"
+                     R"("anti_affinity":2}]})"),
+                Why);
+  BOOST_REQUIRE(Job);
+  BOOST_TEST(Job->Id_ == Id);
+  BOOST_TEST(Job->TaskCount_ == 4u);
+  BOOST_TEST((Job->Needs_ == request::Resources{500, 256, 1}));
+  BOOST_TEST((Job->Estimate_ == 900ms));
+  BOOST_TEST(Job->PreferredRack_ == "r1-3");
+  BOOST_TEST(Job->RequiredLabel_ == "a");
+  BOOST_TEST(Job->MaxPerMinion_ == 2u);
+  BOOST_TEST((Job->CallerTimeout_ == 3012ms));
+}
+
+BOOST_AUTO_TEST_CASE(targets_are_read_behind_the_prefix) {
+  version::Route Route;
+  Route.Prefix_ = "/lohu930/";
+  HttpRequest Request = post("");
+  BOOST_TEST((decodeTarget(Request, Route)->Action_ == CallerAction::Submit));
+  Request.Method_ = "GET";
+  BOOST_TEST((decodeTarget(Request, Route)->Action_ == CallerAction::GetState));
+  Request.Method_ = "DELETE";
+  BOOST_TEST((decodeTarget(Request, Route)->Action_ == CallerAction::Cancel));
+  Request.Method_ = "GET";
+  Request.Target_ = "/lohu930/?x=1";
+  BOOST_TEST(
+      (decodeTarget(Request, Route)->Action_ == CallerAction::CountQueue));
+  Request.Target_ = "/lohu930/xyz";
+  BOOST_TEST(!decodeTarget(Request, Route));
+  BOOST_TEST(callerHost(Request) == "nony24.example");
+}
+
+BOOST_AUTO_TEST_CASE(answers_say_what_is_true) {
+  BOOST_TEST(encodeAnswer({JobResult::Completed, {}, {}}).Status_ == 200);
+  BOOST_TEST(encodeAnswer({JobResult::Failed, {}, {}}).Body_ ==
+             R"({"state":"failed"})");
+  BOOST_TEST(
+      encodeAnswer({JobResult::Abandoned, JobReason::Overloaded, {}}).Status_ ==
+      504);
+  const HttpResponse Refused =
+      encodeAnswer({JobResult::Refused, JobReason::Overloaded, 1200ms});
+  BOOST_TEST(Refused.Status_ == 503);
+  BOOST_TEST(connection::findHeader(Refused.Headers_, "retry-after") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(a_report_of_a_minion_is_read_whole_or_not_at_all) {
+  request::CodecFault Why;
+  const auto Report = decodeMinionReport("i-1", GoodReport, Why);
+  BOOST_REQUIRE(Report);
+  BOOST_TEST((Report->Life_ == request::MinionLife{"i-1", 1777}));
+  BOOST_TEST(Report->Capacity_.CpuMillicores_ == 16'000);
+  BOOST_TEST(Report->ClockMs_ == 482'113);
+  BOOST_TEST(Report->Labels_.size() == 2u);
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"ready\"", "\"asleep\""},
+           {"\"huvo11a\"", "17"},
+           {"10.128.0.9:8080", "nowhere"},
+           {"16000", "\"many\""},
+           {"\"sequence\":4", "\"sequence\":\"x\""},
+           {"}", ""}}) {
+    std::string Bad = GoodReport;
+    Bad.replace(Bad.find(From), From.size(), To);
+    BOOST_TEST_CONTEXT(Bad) BOOST_TEST(!decodeMinionReport("i-1", Bad, Why));
+  }
+  BOOST_TEST(!decodeMinionReport("", GoodReport, Why));
+}
+
+BOOST_AUTO_TEST_CASE(replies_to_starts_are_told_apart) {
+  for (const StartCase &Each : StartCases) {
+    HttpResponse Response;
+    Response.Status_ = Each.Status_;
+    Response.Body_ = Each.Body_;
+    BOOST_TEST_CONTEXT(Each.Status_ << " " << Each.Body_)
+    BOOST_TEST((decodeStartReply(Response) == Each.Expected_));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_is_read_by_position) {
+  HttpResponse Response;
+  Response.Body_ =
+      R"({"clock_ms":482113,"born":1777,"running":[["5c.0.0.17",2,"",41,9]],)"
+      R"("finished":[[58,"5c.0.0.9",1,"done",""],[59,"5c.0.0.8",1,"broken",""],)"
+      R"([60,"5c.0.0.7",3,"lapsed",""]]})";
+  const auto Reply = decodeHoldReply(Response, {"i-1", 1777});
+  BOOST_REQUIRE(Reply.Listing_);
+  BOOST_TEST(Reply.Listing_->MinionClockMs_ == 482'113);
+  BOOST_TEST(
+      (Reply.Listing_->Running_.at(0).Key_ == request::RunKey{"5c/17", 2}));
+  BOOST_TEST(Reply.Listing_->Running_.at(0).Percent_ == 41);
+  BOOST_TEST((Reply.Listing_->Ended_.at(0).End_ == RunEnd::Done));
+  BOOST_TEST((Reply.Listing_->Ended_.at(1).End_ == RunEnd::Failed));
+  BOOST_TEST((Reply.Listing_->Ended_.at(2).End_ == RunEnd::Lapsed));
+  // Another life of the minion answered at the address.
+  BOOST_TEST(!decodeHoldReply(Response, {"i-1", 1778}).Listing_);
+  Response.Status_ = 409;
+  Response.Body_ = R"({"reason":"fence"})";
+  BOOST_TEST(decodeHoldReply(Response, {"i-1", 1777}).Fenced_);
+}
+
+BOOST_AUTO_TEST_CASE(task_names_go_both_ways) {
+  BOOST_TEST(encodeTaskName("5c0e/17") == "5c0e.0.0.17");
+  BOOST_TEST(decodeTaskName("5c0e.0.0.17") == "5c0e/17");
+  BOOST_TEST(encodeTaskName(decodeTaskName("5c0e.1.2.17")) == "5c0e.1.2.17");
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_becomes_a_table_of_routes) {
+  ConfigFault Why;
+  const auto Table = decodeRouteTable(
+      R"({"version":7,"routes":[)"
+      R"({"name":"r1","host":"h","prefix":"/a/","service":"s",)"
+      R"("target_latency_ms":60,"priority":1,"max_attempts":3,)"
+      R"("slack_factor":1.6},)"
+      R"({"name":"r2","host":"h","prefix":"/a/b/","service":"s",)"
+      R"("max_attempts":0,"slack_factor":2,"advisor":{"decision_ms":1}}]})",
+      Why);
+  BOOST_REQUIRE(Table);
+  BOOST_TEST(Table->version() == 7);
+  BOOST_TEST(Table->find("h", "/a/x")->Name_ == "r1");
+  BOOST_TEST(Table->find("h", "/a/x")->Policy_.MaxAttempts_ == 3u);
+  BOOST_TEST(Table->find("h", "/a/b/x")->Name_ == "r2");
+  BOOST_TEST(!Table->find("h", "/a/b/x")->Served_);
+  BOOST_TEST(Table->find("h", "/c/") == nullptr);
+  BOOST_TEST(Table->find("other", "/a/x") == nullptr);
+  BOOST_TEST(!decodeRouteTable(R"({"version":"x"})", Why));
+  BOOST_TEST(!decodeRouteTable("{", Why));
+}
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -42,6 +42,7 @@
       Outcomes_.emplace_back(Owner, Outcome);
     };
     Hooks.StateChanged_ = [] {};
+    Hooks.OnEnded_ = [](auto, auto) {};
     Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
     Agent_ = std::make_unique<RunAgent>(process::dispatch::RunAgentOptions{},
                                         Hooks, Token);
