--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -12,15 +12,6 @@
 /// Lower bound of the time after which a refused caller may come back.
 constexpr Duration LeastRetryAfter = std::chrono::seconds(1);
 
-std::string inMilliseconds(Duration Value) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
-}
-
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 /// Largest predicted end and wait of some placements.
 struct Prediction {
   Duration Finish_{};
@@ -93,11 +84,13 @@
     return refuse(Spec.Id_, Reply, JobReason::NoMinion, {}, "");
   const Prediction Expected = worst(Places);
   const std::string Detail =
-      " tasks=" + std::to_string(Spec.TaskCount_) +
-      " objective_ms=" + inMilliseconds(Times.Objective_) +
-      " predicted_ms=" + inMilliseconds(Expected.Finish_) +
-      " wait_ms=" + inMilliseconds(Expected.Wait_);
-  if (seconds(Expected.Wait_) > Options_.AdmittedWait_ * seconds(Times.Slack_))
+      " tasks=" + std::to_string(Spec.TaskCount_) + " objective_ms=" +
+      std::to_string(request::toMilliseconds(Times.Objective_)) +
+      " predicted_ms=" +
+      std::to_string(request::toMilliseconds(Expected.Finish_)) +
+      " wait_ms=" + std::to_string(request::toMilliseconds(Expected.Wait_));
+  if (request::toSeconds(Expected.Wait_) >
+      Options_.AdmittedWait_ * request::toSeconds(Times.Slack_))
     return refuse(Spec.Id_, Reply, JobReason::Overloaded, Expected.Wait_,
                   Detail);
   const TimePoint Now = Hooks_.Now_();
@@ -329,7 +322,8 @@
   Hooks_.Log_(
       Which.Spec_.Id_, "answered",
       "result=" + std::string(request::findName(JobResultNames, Result)) +
-          " after_ms=" + inMilliseconds(Now - Which.Received_) +
+          " after_ms=" +
+          std::to_string(request::toMilliseconds(Now - Which.Received_)) +
           " late=" + (Now > Which.OnTimeBy_ ? "yes" : "no"));
   Hooks_.OnAnswered_(Result, Now - Which.Received_);
   const AnswerCallback Reply = std::move(Which.Reply_);
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// Time between reports per entry, so that the reports of all agents take the
-/// same share of an entry in small and large systems: an agent has about six
-/// times as many peers as there are entries for each of them. An entry whose
-/// order is declined gets a report at once.
+/// Time between reports, per connected entry. Agents grow in number with the
+/// entries, so reading the reports of all of them takes about the same share of
+/// an entry in small and large systems. An entry whose order is declined gets a
+/// report at once.
 constexpr Duration ReportPeriodPerOwner = std::chrono::milliseconds(5);
 constexpr Duration LeastReportPeriod = std::chrono::milliseconds(15);
 
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -34,20 +34,11 @@
 /// raising it at smaller steps would make all minions look slow.
 constexpr double LeastSlowdown = 1.8;
 
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
 /// Time in which a slowness without new runs returns most of the way to
 /// nominal. A minion that was slow for a while gets no runs that could show its
 /// recovery.
 constexpr double SlownessMemorySeconds = 2.5;
 
-std::string inMilliseconds(Duration Value) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
-}
-
 std::string taskName(const std::string &Job, std::uint32_t Index) {
   return Job + "/" + std::to_string(Index);
 }
@@ -240,9 +231,9 @@
   Call.FencingToken_ = FencingToken_;
   const Duration Spare = Waiting.LatestOnTime_ - Now;
   Hooks_.Log_(Key.Task_, "start",
-              "run=" + std::to_string(Key.Number_) +
-                  " free_cpu=" + std::to_string(Gate_.free().CpuMillicores_) +
-                  " slack_ms=" + inMilliseconds(Spare));
+              "run=" + std::to_string(Key.Number_) + " free_cpu=" +
+                  std::to_string(Gate_.free().CpuMillicores_) + " slack_ms=" +
+                  std::to_string(request::toMilliseconds(Spare)));
   Hooks_.Minion_.Start_(*Gate_.minion(), Call,
                         [this, Key, Life = LifeCount_](
                             StartReply Reply, const std::string &Detail) {
@@ -382,9 +373,10 @@
     if (Elapsed < ProgressSpan || Which.Percent_ == 0 ||
         Which.Expected_ <= Duration::zero())
       continue;
-    const double Whole = seconds(Elapsed) * WholePercent / Which.Percent_;
-    Sum += std::clamp(Whole / seconds(Which.Expected_), LeastSlowness,
-                      MostSlowness);
+    const double Whole =
+        request::toSeconds(Elapsed) * WholePercent / Which.Percent_;
+    Sum += std::clamp(Whole / request::toSeconds(Which.Expected_),
+                      LeastSlowness, MostSlowness);
     ++Count;
   }
   if (Count < LeastSamples || Sum / Count < LeastSlowdown * Slowness_)
@@ -398,9 +390,9 @@
   if (Slowness_ < Options_.TooSlowFactor_ || Which.Percent_ == 0 ||
       Elapsed < ProgressSpan)
     return false;
-  const double Rest =
-      seconds(Elapsed) * (WholePercent - Which.Percent_) / Which.Percent_;
-  return Rest > Options_.TooSlowFactor_ * seconds(Which.Expected_);
+  const double Rest = request::toSeconds(Elapsed) *
+                      (WholePercent - Which.Percent_) / Which.Percent_;
+  return Rest > Options_.TooSlowFactor_ * request::toSeconds(Which.Expected_);
 }
 
 void RunAgent::stopUseless() {
@@ -434,7 +426,9 @@
       Settled.Key_.Task_, "ended",
       "run=" + std::to_string(Settled.Key_.Number_) + " end=" +
           std::string(request::findName(request::RunEndNames, Settled.End_)) +
-          " ran_ms=" + inMilliseconds(Hooks_.Now_() - Ended.Began_));
+          " ran_ms=" +
+          std::to_string(
+              request::toMilliseconds(Hooks_.Now_() - Ended.Began_)));
   Hooks_.OnEnded_(Settled.End_, Hooks_.Now_() - Ended.Began_);
   if (Ended.StopReason_ == "owner_gone")
     return;
@@ -457,8 +451,8 @@
     Health_.abandon(Ended.Health_);
   if (End != RunEnd::Done || Ended.Expected_ <= Duration::zero())
     return;
-  const double Ratio =
-      seconds(Hooks_.Now_() - Ended.Began_) / seconds(Ended.Expected_);
+  const double Ratio = request::toSeconds(Hooks_.Now_() - Ended.Began_) /
+                       request::toSeconds(Ended.Expected_);
   Slowness_ += AverageWeight *
                (std::clamp(Ratio, LeastSlowness, MostSlowness) - Slowness_);
 }
--- a/packages/request/include/wigeonwall/request/clock.h
+++ b/packages/request/include/wigeonwall/request/clock.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_REQUEST_CLOCK_H
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace wigeonwall::request {
@@ -14,6 +15,20 @@
 /// \brief Returns the current monotonic time.
 using Clock = std::function<TimePoint()>;
 
+[[nodiscard]] constexpr double toSeconds(Duration Value) noexcept {
+  return std::chrono::duration<double>(Value).count();
+}
+
+[[nodiscard]] constexpr Duration fromSeconds(double Seconds) noexcept {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
+/// \brief Whole milliseconds, for logs and messages.
+[[nodiscard]] constexpr std::int64_t toMilliseconds(Duration Value) noexcept {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 } // namespace wigeonwall::request
 
 #endif
--- a/packages/request/src/fleet_view.cpp
+++ b/packages/request/src/fleet_view.cpp
@@ -27,15 +27,6 @@
 /// Added to the predicted end of a task on an agent that just failed it.
 constexpr double AvoidSeconds = 10.0;
 
-double seconds(Duration Value) {
-  return std::chrono::duration<double>(Value).count();
-}
-
-Duration fromSeconds(double Value) {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(Value));
-}
-
 bool contains(const std::vector<std::string> &Labels,
               const std::string &Label) {
   return std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
@@ -60,7 +51,7 @@
     return;
   Found->second.Unseen_.push_back(
       {Sequence, Needs,
-       static_cast<double>(Needs.CpuMillicores_) * seconds(Expected)});
+       static_cast<double>(Needs.CpuMillicores_) * toSeconds(Expected)});
 }
 
 double FleetView::Candidate::fill() const {
@@ -111,7 +102,7 @@
     }
     const bool Remote = !Job.PreferredRack_.empty() &&
                         !contains(Report.Labels_, Job.PreferredRack_);
-    Next.Expected_ = fromSeconds(seconds(Job.Estimate_) *
+    Next.Expected_ = fromSeconds(toSeconds(Job.Estimate_) *
                                  (Remote ? Options_.RemotePenalty_ : 1.0));
     Next.BaseWait_ = Report.Waits_[slackClass(Slack)];
     Result.push_back(std::move(Next));
@@ -125,15 +116,17 @@
                  const std::map<std::string, std::uint32_t> &Placed) {
   std::vector<Candidate> Choices = candidates(Job, Service, Slack, Placed);
   std::vector<TaskPlacement> Result;
-  const double OnTime = seconds(Job.Estimate_) + PlannedSlack * seconds(Slack);
+  const double OnTime =
+      toSeconds(Job.Estimate_) + PlannedSlack * toSeconds(Slack);
   for (std::uint32_t I = 0; I < Count; ++I) {
     Candidate *Best = nullptr;
     double BestScore = 0;
     for (Candidate &Each : Choices) {
       if (Each.Room_ == 0)
         continue;
-      const double Wait = seconds(Each.wait(Job.Needs_));
-      const double RunTime = seconds(Each.Expected_) * Each.Report_->Slowness_;
+      const double Wait = toSeconds(Each.wait(Job.Needs_));
+      const double RunTime =
+          toSeconds(Each.Expected_) * Each.Report_->Slowness_;
       const double Late = std::max(0.0, Wait + RunTime - OnTime);
       const double Score = LateWeight * Late + WaitWeight * Wait +
                            RunTime * (1.0 + FillWeight * Each.fill()) +
@@ -150,7 +143,7 @@
     Place.Agent_ = Best->Name_;
     Place.Expected_ = Best->Expected_;
     Place.Wait_ = Best->wait(Job.Needs_);
-    Place.Finish_ = Place.Wait_ + fromSeconds(seconds(Best->Expected_) *
+    Place.Finish_ = Place.Wait_ + fromSeconds(toSeconds(Best->Expected_) *
                                               Best->Report_->Slowness_);
     Result.push_back(Place);
     --Best->Room_;
@@ -159,7 +152,7 @@
     else
       Best->ExtraMillicoreSeconds_ +=
           static_cast<double>(Job.Needs_.CpuMillicores_) *
-          seconds(Best->Expected_) * Best->Report_->Slowness_;
+          toSeconds(Best->Expected_) * Best->Report_->Slowness_;
   }
   return Result;
 }
