Test the platform's path with the real programs and stand-ins

The programs run as separate processes against a store and minions that speak the platform's protocol over HTTP: calm load, a killed agent, an outage of the store, lost replies and late orders, a planned stop, a new version.

--- /dev/null
+++ b/tests/standins/platform_minion_server.cpp
@@ -0,0 +1,183 @@
+#include "standins/platform_minion_server.h"
+
+#include "platform/minion_client.h"
+#include "wigeonwall/process/event_loop.h"
+#include "wigeonwall/request/codec.h"
+
+namespace wigeonwall::standins {
+
+using connection::HttpRequest;
+using connection::HttpRespond;
+using connection::HttpResponse;
+using process::dispatch::HoldCall;
+using process::dispatch::HoldReply;
+using process::dispatch::StartCall;
+using request::RunEnd;
+using request::StartReply;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto StepPeriod = 2ms;
+constexpr auto ReportPeriod = 300ms;
+constexpr auto ReportTimeout = 1s;
+
+HttpResponse reply(int Status, const Json::Value &Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Body_ = request::writeJson(Body);
+  return Response;
+}
+
+const char *nameOf(RunEnd End) {
+  switch (End) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  default:
+    return "failed";
+  }
+}
+
+const char *reasonOf(StartReply Reply) {
+  switch (Reply) {
+  case StartReply::Fenced:
+    return "fence";
+  case StartReply::OldNumber:
+    return "old";
+  default:
+    return "late";
+  }
+}
+
+} // namespace
+
+PlatformMinionServer::PlatformMinionServer(
+    connection::asio::io_context &Context, connection::Endpoint Address,
+    connection::Endpoint Agent)
+    : Context_(Context), Address_(Address), Agent_(std::move(Agent)),
+      Calls_(Minion_.calls(std::make_shared<bool>(true))),
+      Server_(Context, std::move(Address), {},
+              [this](const HttpRequest &Request, const HttpRespond &Respond) {
+                handle(Request, Respond);
+              }),
+      Client_(Context, {}), AdvancedAt_(std::chrono::steady_clock::now()) {}
+
+bool PlatformMinionServer::listen() {
+  if (!Server_.listen())
+    return false;
+  const auto After = process::makeSchedule(Context_);
+  process::tickEvery(After, StepPeriod, [this] { advance(); });
+  process::tickEvery(After, ReportPeriod, [this] { report(); });
+  return true;
+}
+
+void PlatformMinionServer::advance() {
+  const auto Now = std::chrono::steady_clock::now();
+  Time_.advance(Now - std::exchange(AdvancedAt_, Now));
+}
+
+void PlatformMinionServer::report() {
+  const request::MinionReport Report = Minion_.report();
+  Json::Value Body(Json::objectValue);
+  Body["service"] = Report.Service_;
+  Body["address"] = connection::formatEndpoint(Address_);
+  Body["state"] = "ready";
+  Body["capacity"]["cpu"] = Json::Int64(Report.Capacity_.CpuMillicores_);
+  Body["capacity"]["ram_mb"] = Json::Int64(Report.Capacity_.MemoryMb_);
+  Body["labels"] = Json::Value(Json::arrayValue);
+  Body["clock_ms"] = Json::Int64(Report.ClockMs_);
+  Body["sequence"] = Json::Int64(Report.Sequence_);
+  Body["born"] = Json::Int64(Report.Life_.BornMs_);
+  HttpRequest Request;
+  Request.Method_ = "PUT";
+  Request.Target_ = "/api/instances/" + Report.Life_.Id_;
+  Request.Body_ = request::writeJson(Body);
+  Client_.send(Agent_, std::move(Request), ReportTimeout, [](const auto &) {});
+}
+
+void PlatformMinionServer::handle(const HttpRequest &Request,
+                                  const HttpRespond &Respond) {
+  advance();
+  request::CodecFault Why;
+  const auto Body = request::parseJson(Request.Body_, Why);
+  if (!Body)
+    return Respond(reply(400, Json::Value(Json::objectValue)));
+  if (Request.Target_ == "/api/run-start")
+    return start(*Body, Respond);
+  if (Request.Target_ == "/api/hold")
+    return hold(*Body, Respond);
+  Calls_.Stop_(Minion_.report(),
+               {platform::decodeTaskName((*Body)["task"].asString()),
+                (*Body)["run"].asInt64()},
+               (*Body)["fencing_token"].asInt64(), [Respond](bool Done) {
+                 if (Done)
+                   Respond(reply(200, Json::Value(Json::objectValue)));
+               });
+}
+
+void PlatformMinionServer::start(const Json::Value &Body,
+                                 const HttpRespond &Respond) {
+  StartCall Call;
+  Call.Key_ = {platform::decodeTaskName(Body["task"].asString()),
+               Body["run"].asInt64()};
+  Call.LeaseEndMs_ = Body["deadline_ms"].asInt64();
+  Call.FencingToken_ = Body["fencing_token"].asInt64();
+  Calls_.Start_(Minion_.report(), Call,
+                [Respond](StartReply Reply, const std::string &) {
+                  Json::Value Answer(Json::objectValue);
+                  if (Reply == StartReply::Started)
+                    return Respond(reply(200, Answer));
+                  if (Reply == StartReply::Unknown)
+                    return;
+                  Answer["reason"] = reasonOf(Reply);
+                  Respond(reply(409, Answer));
+                });
+}
+
+void PlatformMinionServer::hold(const Json::Value &Body,
+                                const HttpRespond &Respond) {
+  HoldCall Call;
+  if (Body.isMember("deadline_ms"))
+    Call.LeaseEndMs_ = Body["deadline_ms"].asInt64();
+  Call.FencingToken_ = Body["fencing_token"].asInt64();
+  Call.Observed_ = Body["observed"].asInt64();
+  Call.Wait_ = std::chrono::milliseconds(Body["wait_ms"].asInt64());
+  const std::int64_t Born = Minion_.report().Life_.BornMs_;
+  Calls_.Hold_(Minion_.report(), Call, [Respond, Born](const HoldReply &Reply) {
+    Json::Value Answer(Json::objectValue);
+    if (Reply.Fenced_) {
+      Answer["reason"] = "fence";
+      return Respond(reply(409, Answer));
+    }
+    if (!Reply.Listing_)
+      return;
+    Answer["born"] = Json::Int64(Born);
+    Answer["clock_ms"] = Json::Int64(Reply.Listing_->MinionClockMs_);
+    Answer["running"] = Json::Value(Json::arrayValue);
+    for (const request::RunningRow &Each : Reply.Listing_->Running_) {
+      Json::Value Row(Json::arrayValue);
+      Row.append(platform::encodeTaskName(Each.Key_.Task_));
+      Row.append(Json::Int64(Each.Key_.Number_));
+      Row.append("");
+      Row.append(Each.Percent_);
+      Answer["running"].append(std::move(Row));
+    }
+    Answer["finished"] = Json::Value(Json::arrayValue);
+    for (const request::EndedRow &Each : Reply.Listing_->Ended_) {
+      Json::Value Row(Json::arrayValue);
+      Row.append(Json::Int64(Each.Position_));
+      Row.append(platform::encodeTaskName(Each.Key_.Task_));
+      Row.append(Json::Int64(Each.Key_.Number_));
+      Row.append(nameOf(Each.End_));
+      Row.append("");
+      Answer["finished"].append(std::move(Row));
+    }
+    Respond(reply(200, Answer));
+  });
+}
+
+} // namespace wigeonwall::standins
