Read metrics with their prefix in the measuring scripts

scripts/measure ended with a KeyError on config_version since metrics got their prefix, and other sums read 0 under the old names. The prefix is taken off where metrics are read, and a name that no process has is an error.

--- a/scripts/cluster.py
+++ b/scripts/cluster.py
@@ -54,6 +54,8 @@
     with urllib.request.urlopen(request, timeout=timeout) as reply:
         return reply.read().decode()
 
+METRICS_PREFIX = "wigeonwall_"
+
 
 class Cluster:
     """Entries, agents with their minions, and the key-value service.
@@ -198,11 +200,14 @@
                 and len(alive) == len(self.agents) + len(self.entries))
 
     def metrics(self, node):
-        """Returns the counters of a process by series name."""
+        """Returns the counters of a process by series name, without the
+        common prefix of all names."""
         result = {}
         for line in fetch(node["admin"], "/metrics").splitlines():
             series, value = line.rsplit(" ", 1)
-            result[series] = float(value)
+            if not series.startswith(METRICS_PREFIX):
+                raise KeyError(f"{series}: no {METRICS_PREFIX} in front")
+            result[series.removeprefix(METRICS_PREFIX)] = float(value)
         return result
 
     def starts(self):
--- a/scripts/measure_phases.py
+++ b/scripts/measure_phases.py
@@ -56,9 +56,13 @@
 
 
 def sum_of(metrics, name, labels=("",)):
-    return sum(value for each in metrics for series, value in each.items()
-               if series.split("{")[0] == name
-               and any(label in series for label in labels))
+    """Sums a counter over processes; a name that none of them has is wrong."""
+    found = [(series, value) for each in metrics
+             for series, value in each.items() if series.split("{")[0] == name]
+    if not found:
+        raise KeyError(f"no process has the counter {name}")
+    return sum(value for series, value in found
+               if any(label in series for label in labels))
 
 
 class System:
