Start a task only after its earlier run is over

A task now waits for the end of its earlier run on the minion. The test breaks the rule of one run a task without it.

--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -196,8 +196,9 @@
 void RunAgent::pump() {
   const TimePoint Now = Hooks_.Now_();
   declineAll(Queue_.takeExpired(Now), "no_time_left");
-  const auto Fits = [this](const request::Resources &Needs) {
-    return Gate_.canStart(Needs) && Health_.canStart();
+  const auto Fits = [this](const request::WaitingRun &Waiting) {
+    return Gate_.canStart(Waiting.Needs_) && Health_.canStart() &&
+           !Gate_.hasRunOf(Waiting.Task_);
   };
   while (Reachable_ && !Leaving_) {
     auto Next = Queue_.takeNext(Now, Fits);
--- a/packages/request/include/wigeonwall/request/run_gate.h
+++ b/packages/request/include/wigeonwall/request/run_gate.h
@@ -64,6 +64,10 @@
     return ready() && !draining() && Needs.fitsIn(free());
   }
 
+  /// \brief True while a run of the task may exist on the minion; an earlier
+  /// entry's run may still be ending when its caller submits again elsewhere.
+  [[nodiscard]] bool hasRunOf(const std::string &Task) const;
+
   /// \brief Occupies resources for a start that is about to be sent. The
   /// number is above all known numbers of the task on this minion.
   RunKey begin(const std::string &Task, std::int64_t LeastNumber,
--- a/packages/request/include/wigeonwall/request/run_queue.h
+++ b/packages/request/include/wigeonwall/request/run_queue.h
@@ -53,7 +53,7 @@
   void add(WaitingRun Run);
   /// \brief Takes the next run that \p Fits accepts.
   std::optional<WaitingRun>
-  takeNext(TimePoint Now, const std::function<bool(const Resources &)> &Fits);
+  takeNext(TimePoint Now, const std::function<bool(const WaitingRun &)> &Fits);
   /// \brief Takes the runs whose start is no longer useful here.
   std::vector<WaitingRun> takeExpired(TimePoint Now);
   /// \brief Takes runs of a job of an owner; all its jobs when \p Job is empty.
@@ -76,7 +76,7 @@
 
   std::list<Entry>::iterator
   nextFitting(TimePoint Now, bool OnTime,
-              const std::function<bool(const Resources &)> &Fits);
+              const std::function<bool(const WaitingRun &)> &Fits);
 };
 
 } // namespace wigeonwall::request
--- a/packages/request/src/run_gate.cpp
+++ b/packages/request/src/run_gate.cpp
@@ -51,6 +51,11 @@
   return Settled;
 }
 
+bool RunGate::hasRunOf(const std::string &Task) const {
+  const auto Next = Runs_.lower_bound({Task, 0});
+  return Next != Runs_.end() && Next->first.Task_ == Task;
+}
+
 RunKey RunGate::begin(const std::string &Task, std::int64_t LeastNumber,
                       const Resources &Needs, TimePoint Now) {
   RunKey Key{Task, LeastNumber};
--- a/packages/request/src/run_queue.cpp
+++ b/packages/request/src/run_queue.cpp
@@ -23,12 +23,12 @@
 
 std::list<RunQueue::Entry>::iterator
 RunQueue::nextFitting(TimePoint Now, bool OnTime,
-                      const std::function<bool(const Resources &)> &Fits) {
+                      const std::function<bool(const WaitingRun &)> &Fits) {
   std::vector<Entry *> Passed;
   for (auto Each = Waiting_.begin(); Each != Waiting_.end(); ++Each) {
     if ((Each->Run_.LatestOnTime_ >= Now) != OnTime)
       continue;
-    if (Fits(Each->Run_.Needs_)) {
+    if (Fits(Each->Run_)) {
       for (Entry *Other : Passed)
         ++Other->Overtaken_;
       return Each;
@@ -42,7 +42,7 @@
 
 std::optional<WaitingRun>
 RunQueue::takeNext(TimePoint Now,
-                   const std::function<bool(const Resources &)> &Fits) {
+                   const std::function<bool(const WaitingRun &)> &Fits) {
   auto Next = nextFitting(Now, true, Fits);
   if (Next == Waiting_.end()) {
     const bool AnyOnTime =
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -183,6 +183,21 @@
   BOOST_TEST(Outcomes_.empty());
 }
 
+// The caller of an entry that died submits again through another entry, while
+// the stop of the first run is still without a reply.
+BOOST_AUTO_TEST_CASE(a_task_waits_for_the_end_of_its_earlier_run) {
+  Minion_.RunTime_ = Expected_ = 1s;
+  order("a", 1);
+  advance(100ms);
+  Minion_.StopFaults_.assign(3, CallFault::AppliedLate);
+  Agent_->onOwnerGone("entry-1");
+  advance(50ms);
+  order("a", 1, "entry-2");
+  advance(3s);
+  BOOST_TEST(Minion_.Breaches_.empty());
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(tells_what_of_a_cancelled_job_has_run) {
   Minion_.RunTime_ = Expected_ = 1s;
   order("a", 12);
--- a/tests/unit/run_queue_test.cpp
+++ b/tests/unit/run_queue_test.cpp
@@ -29,8 +29,8 @@
     Queue_.add(Run);
   }
   std::string take() {
-    const auto Next = Queue_.takeNext(Now_, [this](const Resources &Needs) {
-      return Needs.CpuMillicores_ <= Free_;
+    const auto Next = Queue_.takeNext(Now_, [this](const WaitingRun &Run) {
+      return Run.Needs_.CpuMillicores_ <= Free_;
     });
     return Next ? Next->Job_ : "";
   }
