--- a/tests/standins/fake_run_minion.cpp
+++ b/tests/standins/fake_run_minion.cpp
@@ -78,7 +78,7 @@
       Over.emplace_back(Key, RunEnd::Lapsed);
     else if (Stuck_.count(Key.Task_) == 0 && Loop_.now() >= Which.Ends_)
       Over.emplace_back(Key, Failing_.count(Key.Task_) != 0 ? RunEnd::Failed
-                                                             : RunEnd::Done);
+                                                            : RunEnd::Done);
   }
   for (const auto &[Key, How] : Over)
     end(Key, How);
@@ -119,12 +119,11 @@
 void FakeRunMinion::applyHold(const HoldCall &Call) {
   Token_ = std::max(Token_, Call.FencingToken_);
   if (Call.LeaseEndMs_)
-    LeaseEndMs_ = std::max(LeaseEndMs_, std::min(*Call.LeaseEndMs_,
-                                                 clockMs() + 1'000));
+    LeaseEndMs_ =
+        std::max(LeaseEndMs_, std::min(*Call.LeaseEndMs_, clockMs() + 1'000));
   Observed_ = std::max(Observed_, Call.Observed_);
-  std::erase_if(Ended_, [this](const auto &Row) {
-    return Row.Position_ <= Observed_;
-  });
+  std::erase_if(Ended_,
+                [this](const auto &Row) { return Row.Position_ <= Observed_; });
 }
 
 void FakeRunMinion::answerHold(std::function<void(HoldReply)> Done) {
@@ -133,8 +132,8 @@
   Listing.MinionClockMs_ = clockMs();
   for (const auto &[Key, Which] : Runs_) {
     const bool Stuck = Stuck_.count(Key.Task_) != 0;
-    const int Percent = static_cast<int>(100 * (Loop_.now() - Which.Began_) /
-                                         RunTime_);
+    const int Percent =
+        static_cast<int>(100 * (Loop_.now() - Which.Began_) / RunTime_);
     Listing.Running_.push_back({Key, Stuck ? 0 : std::min(99, Percent)});
   }
   Listing.Ended_ = Ended_;
@@ -159,28 +158,28 @@
 FakeRunMinion::calls(std::shared_ptr<const bool> Alive) {
   process::dispatch::MinionCalls Result;
   Result.Start_ = [this, Alive](const auto &, const StartCall &Call,
-                              auto Reply) {
+                                auto Reply) {
     const std::function<void(StartReply, const std::string &)> Done =
         whileAlive(Alive, Reply);
-    const CallFault Fault = Reachable_ ? next(StartFaults_)
-                                       : CallFault::AppliedLate;
+    const CallFault Fault =
+        Reachable_ ? next(StartFaults_) : CallFault::AppliedLate;
     if (Fault == CallFault::AppliedLate)
       Loop_.after(LateBy, [this, Call, Life = Life_] {
         if (Life == Life_)
           (void)applyStart(Call);
       });
     const StartReply Answer = Fault == CallFault::AppliedLate
-                                 ? StartReply::Unknown
-                                 : applyStart(Call);
+                                  ? StartReply::Unknown
+                                  : applyStart(Call);
     if (Fault == CallFault::None)
       return Loop_.after(ReplyDelay, [Done, Answer] { Done(Answer, ""); });
     Loop_.after(OrderTimeout, [Done] { Done(StartReply::Unknown, "lost"); });
   };
   Result.Stop_ = [this, Alive](const auto &, const RunKey &Key, auto,
-                             auto Reply) {
+                               auto Reply) {
     const std::function<void(bool)> Done = whileAlive(Alive, Reply);
-    const CallFault Fault = Reachable_ ? next(StopFaults_)
-                                       : CallFault::AppliedLate;
+    const CallFault Fault =
+        Reachable_ ? next(StopFaults_) : CallFault::AppliedLate;
     if (Fault != CallFault::AppliedLate)
       applyStop(Key);
     if (Fault == CallFault::None)
@@ -189,8 +188,8 @@
   };
   Result.Hold_ = [this, Alive](const auto &, const HoldCall &Call, auto Reply) {
     const std::function<void(HoldReply)> Done = whileAlive(Alive, Reply);
-    const CallFault Fault = Reachable_ ? next(HoldFaults_)
-                                       : CallFault::AppliedLate;
+    const CallFault Fault =
+        Reachable_ ? next(HoldFaults_) : CallFault::AppliedLate;
     if (Call.FencingToken_ < Token_)
       return Loop_.after(ReplyDelay, [Done] {
         HoldReply Refused;
