--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -182,6 +182,13 @@
                        "estimated_ms": estimated_ms or work_ms, **step}]}
 
 
+def leave(code):
+    """Exits without closing what is still open, one by one."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def run_case(folder, case, limit=110.0):
     """Runs `case(record, trouble)`, which returns a list of broken rules.
 
@@ -195,10 +202,10 @@
     except Exception as error:  # the case could not run
         traceback.print_exc()
         record.write("script", "could_not_run", cause=repr(error))
-        sys.exit(2)
+        leave(2)
     for line in broken:
         record.write("script", "broken", detail=line)
         print("broken:", line)
     record.write("script", "end", broken=len(broken))
     print("rule broken" if broken else "rule held")
-    sys.exit(1 if broken else 0)
+    leave(1 if broken else 0)
