--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,7 +31,7 @@
         await system.start()
         system.configure(1, [("r-jobs", "/jobs/", {"slack_factor": 4.0})])
         await system.start_all()
-        await system.wait_ready(lambda n: f"{n:016x}", "/jobs/")
+        await system.wait_ready("/jobs/")
         job_id = "00000000000000a1"
         answer = asyncio.ensure_future(system.request(
             "entry1", "POST", f"/jobs/{job_id}", job(1, WORK_MS),
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -39,7 +39,7 @@
         routes = [("r-jobs", "/jobs/", {})]
         system.configure(1, routes)
         await system.start_all()
-        await system.wait_ready(lambda n: f"{n:016x}", "/jobs/")
+        await system.wait_ready("/jobs/")
         await asyncio.sleep(3.0)
         # A usual change, which all entries see.
         routes.append(("r-more", "/more/", {}))
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -12,7 +12,7 @@
 import tempfile
 import traceback
 
-from .net import PORTS, Record, call, free_subnet
+from .net import PORTS, Record, call, free_subnet, now
 from .platform import Minion, RunWatch, Store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -137,16 +137,15 @@
                           body=answer)
         return status, answer
 
-    async def wait_ready(self, job_id, prefix, timeout=15.0):
-        """Waits until each entry is ready and has served a job on each
-        minion."""
-        loop = asyncio.get_event_loop()
-        until = loop.time() + timeout
-        count = 2 * len(self.agents)
+    async def wait_ready(self, prefix, timeout=15.0):
+        """Waits until each entry serves jobs and each minion has run one."""
+        until = now() + timeout
         number = 0
         for entry in self.entries:
-            while True:
-                if loop.time() > until:
+            served = False
+            while not served or len({name for _, name, _ in self.runs.starts}
+                                    ) < len(self.agents):
+                if now() > until:
                     raise RuntimeError("the system did not become ready")
                 await asyncio.sleep(0.2)
                 status, _ = await call(self.address(entry, "ready"), "GET",
@@ -155,13 +154,9 @@
                     continue
                 number += 1
                 status, _ = await self.request(
-                    entry, "POST", f"{prefix}{job_id(number)}",
-                    job(count, 20, cpu=14000), who="warm-up")
-                if status == 200:
-                    break
-        used = {name for _, name, _ in self.runs.starts}
-        if len(used) < len(self.agents):
-            raise RuntimeError("not all minions are in use: " + str(used))
+                    entry, "POST", f"{prefix}{number:016x}",
+                    job(2 * len(self.agents), 20, cpu=14000), who="warm-up")
+                served = served or status == 200
 
     def stop(self):
         for process in self.processes.values():
