--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,9 +14,9 @@
 
 FREEZE_S = 2.7
 RESEND_S = 1.3
-TASKS = 32
+TASKS = 160
 WORK_MS = 900
-ROUNDS = 5
+ROUNDS = 11
 
 
 class Trigger:
@@ -41,7 +41,7 @@
 
 
 async def case(record, trouble):
-    system = System(record, entries=1, agents=3)
+    system = System(record, entries=1, agents=4)
     trigger = Trigger(system, trouble)
     broken = []
 
@@ -59,7 +59,7 @@
         for _ in range(3):
             status, _ = await system.request(
                 "entry1", "POST", f"/jobs/{job_id}",
-                job(TASKS, WORK_MS, cpu=1000), deadline=1.5)
+                job(TASKS, WORK_MS, cpu=400), deadline=1.5)
             if status not in (0, 502, 504):
                 return
             await asyncio.sleep(RESEND_S)
--- a/review/standins/net.py
+++ b/review/standins/net.py
@@ -155,6 +155,9 @@
         self.epoch = 0
         self.server = None
         self.tasks = set()
+        # Returns true to take bytes that come from the caller out of the
+        # connection, which then returns nothing further.
+        self.intercept = lambda data: False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host,
@@ -172,14 +175,17 @@
         except OSError:
             writer.transport.abort()
             return
-        for pair in ((reader, far_writer), (far_reader, writer)):
+        for pair in ((reader, far_writer, self.intercept),
+                     (far_reader, writer, lambda data: False)):
             task = asyncio.ensure_future(self.pump(epoch, *pair))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def pump(self, epoch, reader, writer):
+    async def pump(self, epoch, reader, writer, intercept):
         try:
             while data := await reader.read(65536):
+                if intercept(data):
+                    continue
                 if epoch == self.epoch:
                     writer.write(data)
                     await writer.drain()
--- a/review/standins/platform.py
+++ b/review/standins/platform.py
@@ -132,6 +132,8 @@
         self.name, self.agent, self.record = name, agent, record
         self.service, self.labels, self.cpu = service, list(labels), cpu
         self.zone, self.address = zone, f"{host}:{port}"
+        # Address in heartbeats; that of a relay, if there is one.
+        self.advertised = self.address
         self.watch_runs = watch_runs
         self.server = HttpServer(host, port, self.handle)
         self.lives = 0
@@ -171,7 +173,7 @@
 
     def report(self):
         self.sequence += 1
-        return {"service": self.service, "address": self.address,
+        return {"service": self.service, "address": self.advertised,
                 "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "ready", "cold_remaining_ms": 0,
                 "capacity": {"cpu": self.cpu, "ram_mb": 65536, "gpu": 0},
