Use another minion only after it has answered a poll itself

Cause: RunTracker::onReport() took a report with another identity and a later start time as proof that the present minion had ended.

Change: the agent polls an unknown process at its address and adopts it when it answers with its own identity, and when the present minion has certainly ended: it had the same address, or it no longer answers and its runs have ended. The order of start times decides nothing any more. Related paths: a notice that a minion leaves ends no runs until its address refuses connections or its leases have expired; a list without its process's start time is rejected; a report cannot move the present minion; the step of the fencing token is limited.

Tests: the new cases of run_agent_test. a_restarted_minion_with_the_same_id_ has_no_runs now waits 25 ms for the poll before the same check, because a report alone no longer ends runs. The stand-ins answer as one process.

--- a/packages/connection/src/http_client.cpp
+++ b/packages/connection/src/http_client.cpp
@@ -48,7 +48,8 @@
                  std::chrono::steady_clock::now() + ConnectTimeout));
     Stream_.async_connect(Peer, [Self = shared_from_this()](auto Error) {
       if (Error)
-        return Self->fail(TransportError::NotSent, Error.message());
+        return Self->fail(TransportError::NotSent, Error.message(),
+                          Error == asio::error::connection_refused);
       boost::system::error_code Ignored;
       Self->Stream_.socket().set_option(Tcp::no_delay(true), Ignored);
       Self->write();
@@ -147,9 +148,10 @@
     complete(std::move(Result), Reusable);
   }
 
-  void fail(TransportError Error, std::string Detail) {
+  void fail(TransportError Error, std::string Detail, bool Refused = false) {
     HttpResult Result;
     Result.Error_ = Error;
+    Result.Refused_ = Refused;
     Result.Detail_ = std::move(Detail);
     complete(std::move(Result), false);
   }
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -42,6 +42,8 @@
 struct HoldReply {
   /// Set if the minion has seen a higher fencing token.
   bool Fenced_ = false;
+  /// Set if no process, or another incarnation, answers at the address.
+  bool Gone_ = false;
   /// Empty if there was no valid reply.
   std::optional<request::RunListing> Listing_;
   /// Why there is no listing.
@@ -97,6 +99,11 @@
   double TooSlowFactor_ = 2.5;
   /// Minimum time without progress before a run is considered stalled.
   request::Duration MinStallTime_ = std::chrono::milliseconds(400);
+  /// Time after its last report during which a new minion process is polled to
+  /// verify that it runs; over two report intervals of a minion.
+  request::Duration CandidateLifetime_ = std::chrono::milliseconds(3'500);
+  /// Maximum number of minion processes that are verified at the same time.
+  std::size_t MaxCandidates_ = 4;
 };
 
 /// \brief Schedules all runs on one minion.
@@ -110,8 +117,13 @@
   RunAgent(RunAgentOptions Options, RunAgentHooks Hooks,
            std::int64_t FencingToken);
 
+  /// \brief Applies a report of the minion. A report of another minion process
+  /// is only a claim: that process is used once it has answered a poll itself,
+  /// and the runs of the present one are not given up before.
   void onMinionReport(const request::MinionReport &Report);
-  void onMinionGone(const request::MinionIncarnation &Incarnation);
+  /// \brief Handles a minion's notice that it leaves. Its runs are given up
+  /// only after it has stopped answering.
+  void onMinionLeaving(const request::MinionIncarnation &Incarnation);
   void onOrder(const std::string &Owner, const RunOrder &Order);
   /// \brief Stops all runs of an owner's job; an outcome is sent for each.
   void onCancel(const std::string &Owner, const std::string &Job);
@@ -156,6 +168,29 @@
     }
   };
 
+  /// A minion process that has sent reports and not yet answered a poll.
+  struct Candidate {
+    request::MinionReport Report_;
+    request::TimePoint ReportedAt_;
+    request::TimePoint CheckedAt_;
+    bool CheckPending_ = false;
+  };
+
+  void applyReport(const request::MinionReport &Report);
+  void addCandidate(const request::MinionReport &Report);
+  /// Polls a candidate to verify that it runs at its address.
+  void checkCandidate(Candidate &Entry);
+  void onCandidateReply(const request::MinionIncarnation &Incarnation,
+                        const HoldReply &Reply, request::TimePoint SentAt);
+  /// Returns true if the present minion has certainly ended, given that the
+  /// candidate answers at its own address.
+  [[nodiscard]] bool mayReplacePresent(const Candidate &Entry) const;
+  void adopt(const request::MinionReport &Report,
+             const request::RunListing &Listing, request::TimePoint SentAt);
+  void checkCandidates();
+  void removeMinion();
+  void applyListing(const request::RunListing &Listing,
+                    request::TimePoint SentAt);
   void advance();
   void startNext(request::WaitingRun Waiting);
   void onStartReply(const request::RunKey &Key, request::StartReply Reply,
@@ -191,8 +226,11 @@
   request::RunQueue Queue_;
   request::HealthTracker Health_;
   std::map<request::RunKey, Run> Runs_;
+  std::map<request::MinionIncarnation, Candidate> Candidates_;
   bool Leaving_ = false;
   bool Reachable_ = true;
+  /// The minion has announced that it leaves.
+  bool MinionLeaving_ = false;
   /// A long poll and an immediate poll may be pending at the same time.
   bool LongPollPending_ = false;
   bool ImmediatePollPending_ = false;
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// One year in ms; a larger step could overflow the token.
+constexpr std::int64_t MaxTokenStep = 365LL * 24 * 3'600 * 1'000;
+
 std::string taskName(const std::string &Job, std::uint32_t Index) {
   return Job + "/" + std::to_string(Index);
 }
@@ -38,44 +41,148 @@
 }
 
 void RunAgent::onMinionReport(const request::MinionReport &Report) {
-  const TimePoint Now = Hooks_.Now_();
+  const auto &Present = Tracker_.minion();
+  if (!Present || Present->Incarnation_ != Report.Incarnation_)
+    return addCandidate(Report);
+  if (Present->Address_ != Report.Address_ ||
+      Present->Service_ != Report.Service_)
+    return Hooks_.Log_(Report.Incarnation_.Id_, "report_ignored",
+                       "cause=other_address_or_service address=" +
+                           Report.Address_ + " service=" + Report.Service_);
+  applyReport(Report);
+  advance();
+}
+
+void RunAgent::applyReport(const request::MinionReport &Report) {
   const bool WasDraining = Tracker_.draining();
-  const auto Before = Tracker_.minion();
-  const auto EndedRuns = Tracker_.onReport(Report, Now);
-  const auto &Current = Tracker_.minion();
-  if (!Before || Before->Incarnation_ != Current->Incarnation_) {
-    ++MinionGeneration_;
-    LongPollPending_ = ImmediatePollPending_ = false;
-    ListedClockMs_ = 0;
-    MissedPolls_ = 0;
-    Reachable_ = true;
-    Health_ = request::HealthTracker(Hooks_.Now_);
-    Speed_.reset();
-    Hooks_.Log_(
-        Current->Incarnation_.Id_, "minion_adopted",
-        "born_ms=" + std::to_string(Current->Incarnation_.StartedAtMs_) +
-            " address=" + Current->Address_ +
-            " cpu=" + std::to_string(Current->Capacity_.CpuMillicores_));
-  }
+  const auto EndedRuns = Tracker_.onReport(Report, Hooks_.Now_());
+  const auto &Minion = Tracker_.minion();
+  MinionLeaving_ = MinionLeaving_ && Tracker_.draining();
   onRunsEnded(EndedRuns);
-  if (!WasDraining && Tracker_.draining()) {
-    Hooks_.Log_(Current->Incarnation_.Id_, "minion_draining",
-                "runs=" + std::to_string(Runs_.size()));
-    declineAll(Queue_.takeAll(), "draining");
-    Hooks_.StateChanged_();
-  }
+  if (WasDraining || !Tracker_.draining())
+    return;
+  Hooks_.Log_(Minion->Incarnation_.Id_, "minion_draining",
+              "runs=" + std::to_string(Runs_.size()));
+  declineAll(Queue_.takeAll(), "draining");
+  Hooks_.StateChanged_();
+}
+
+void RunAgent::addCandidate(const request::MinionReport &Report) {
+  const auto Known = Candidates_.find(Report.Incarnation_);
+  if (Known != Candidates_.end() &&
+      Known->second.Report_.Sequence_ >= Report.Sequence_)
+    return;
+  if (Known == Candidates_.end() &&
+      Candidates_.size() >= Options_.MaxCandidates_)
+    return Hooks_.Log_(Report.Incarnation_.Id_, "report_ignored",
+                       "cause=too_many_candidates");
+  Candidate &Entry = Candidates_[Report.Incarnation_];
+  Entry.Report_ = Report;
+  Entry.ReportedAt_ = Hooks_.Now_();
+  checkCandidate(Entry);
+}
+
+void RunAgent::checkCandidate(Candidate &Entry) {
+  if (Entry.CheckPending_)
+    return;
+  Entry.CheckPending_ = true;
+  const TimePoint Now = Hooks_.Now_();
+  Entry.CheckedAt_ = Now;
+  HoldCall Call;
+  Call.FencingToken_ = FencingToken_;
+  Hooks_.Minion_.Hold_(
+      Entry.Report_, Call,
+      [this, Now, Incarnation = Entry.Report_.Incarnation_](HoldReply Reply) {
+        onCandidateReply(Incarnation, Reply, Now);
+      });
+}
+
+void RunAgent::onCandidateReply(const request::MinionIncarnation &Incarnation,
+                                const HoldReply &Reply, TimePoint SentAt) {
+  const auto Found = Candidates_.find(Incarnation);
+  if (Found == Candidates_.end())
+    return;
+  Candidate &Entry = Found->second;
+  Entry.CheckPending_ = false;
+  // checkCandidates() repeats the poll with the higher token.
+  if (Reply.Fenced_)
+    return increaseFencingToken();
+  if (!Reply.Listing_)
+    return Hooks_.Log_(Incarnation.Id_, "minion_unconfirmed",
+                       "detail=\"" + Reply.Detail_ + "\"");
+  if (!mayReplacePresent(Entry))
+    return Hooks_.Log_(Incarnation.Id_, "minion_unconfirmed",
+                       "detail=\"another minion is in use\"");
+  const request::MinionReport Report = Entry.Report_;
+  Candidates_.clear();
+  adopt(Report, *Reply.Listing_, SentAt);
+}
+
+bool RunAgent::mayReplacePresent(const Candidate &Entry) const {
+  const auto &Present = Tracker_.minion();
+  // Two processes cannot answer at one address. A process at another address
+  // proves nothing, so the runs of the present one have to end or to lapse.
+  return !Present || Present->Address_ == Entry.Report_.Address_ ||
+         (!Reachable_ && Tracker_.runCount() == 0);
+}
+
+void RunAgent::adopt(const request::MinionReport &Report,
+                     const request::RunListing &Listing, TimePoint SentAt) {
+  ++MinionGeneration_;
+  LongPollPending_ = ImmediatePollPending_ = false;
+  MissedPolls_ = 0;
+  Reachable_ = true;
+  MinionLeaving_ = false;
+  Health_ = request::HealthTracker(Hooks_.Now_);
+  Speed_.reset();
+  Hooks_.Log_(Report.Incarnation_.Id_, "minion_adopted",
+              "born_ms=" + std::to_string(Report.Incarnation_.StartedAtMs_) +
+                  " address=" + Report.Address_ +
+                  " cpu=" + std::to_string(Report.Capacity_.CpuMillicores_));
+  applyReport(Report);
+  ListedClockMs_ = 0;
+  applyListing(Listing, SentAt);
   advance();
 }
 
-void RunAgent::onMinionGone(const request::MinionIncarnation &Incarnation) {
-  const auto EndedRuns = Tracker_.onDeparture(Incarnation);
-  if (Tracker_.minion())
+void RunAgent::checkCandidates() {
+  const TimePoint Now = Hooks_.Now_();
+  for (auto Next = Candidates_.begin(); Next != Candidates_.end();) {
+    const auto Current = Next++;
+    Candidate &Entry = Current->second;
+    if (Now - Entry.ReportedAt_ > Options_.CandidateLifetime_) {
+      Hooks_.Log_(Current->first.Id_, "candidate_expired", "");
+      Candidates_.erase(Current);
+    } else if (Now - Entry.CheckedAt_ >= Options_.PollPeriod_) {
+      checkCandidate(Entry);
+    }
+  }
+}
+
+void RunAgent::onMinionLeaving(const request::MinionIncarnation &Incarnation) {
+  const auto &Minion = Tracker_.minion();
+  if (!Minion || Minion->Incarnation_ != Incarnation)
     return;
+  MinionLeaving_ = true;
+  Tracker_.onDepartureAnnounced();
+  Hooks_.Log_(Incarnation.Id_, "minion_leaving",
+              "runs=" + std::to_string(Runs_.size()));
+  declineAll(Queue_.takeAll(), "minion_leaving");
+  pollMinion(true);
+  Hooks_.StateChanged_();
+}
+
+void RunAgent::removeMinion() {
+  const request::MinionIncarnation Incarnation =
+      Tracker_.minion()->Incarnation_;
+  MinionLeaving_ = false;
   ++MinionGeneration_;
+  LongPollPending_ = ImmediatePollPending_ = false;
+  MissedPolls_ = 0;
+  const auto EndedRuns = Tracker_.onDeparture(Incarnation);
   Hooks_.Log_(Incarnation.Id_, "minion_gone",
               "runs=" + std::to_string(EndedRuns.size()));
   onRunsEnded(EndedRuns);
-  declineAll(Queue_.takeAll(), "minion_gone");
   Hooks_.StateChanged_();
 }
 
@@ -241,7 +348,7 @@
 
 void RunAgent::increaseFencingToken() {
   FencingToken_ += TokenStep_;
-  TokenStep_ *= 2;
+  TokenStep_ = std::min(2 * TokenStep_, MaxTokenStep);
   Hooks_.Log_("minion", "fenced",
               "next_token=" + std::to_string(FencingToken_));
 }
@@ -271,8 +378,11 @@
 }
 
 void RunAgent::pollMinion(bool Immediate) {
+  // A present minion is polled as long as another process claims its place.
   const bool Needed =
-      Tracker_.needsListing() || (Tracker_.minion() && MissedPolls_ > 0);
+      Tracker_.needsListing() ||
+      (Tracker_.minion() &&
+       (MissedPolls_ > 0 || MinionLeaving_ || !Candidates_.empty()));
   if (!Needed || (Immediate ? ImmediatePollPending_ : LongPollPending_))
     return;
   (Immediate ? ImmediatePollPending_ : LongPollPending_) = true;
@@ -301,6 +411,8 @@
   (Immediate ? ImmediatePollPending_ : LongPollPending_) = false;
   if (Reply.Fenced_)
     increaseFencingToken();
+  if (Reply.Gone_ && MinionLeaving_)
+    return removeMinion();
   if (!Reply.Listing_) {
     onMissedPoll(Reply.Detail_);
     return;
@@ -310,16 +422,19 @@
     Reachable_ = true;
     Hooks_.Log_("minion", "reachable", "");
   }
+  applyListing(*Reply.Listing_, SentAt);
+  advance();
+}
+
+void RunAgent::applyListing(const request::RunListing &Listing,
+                            TimePoint SentAt) {
   // Ignores listings that arrive out of order; a newer one contains the same
   // information.
-  if (Reply.Listing_->MinionClockMs_ >= ListedClockMs_) {
-    ListedClockMs_ = Reply.Listing_->MinionClockMs_;
-    const auto EndedRuns =
-        Tracker_.onListing(*Reply.Listing_, SentAt, Hooks_.Now_());
-    onRunsEnded(EndedRuns);
-    updateProgress(*Reply.Listing_);
-  }
-  advance();
+  if (Listing.MinionClockMs_ < ListedClockMs_)
+    return;
+  ListedClockMs_ = Listing.MinionClockMs_;
+  onRunsEnded(Tracker_.onListing(Listing, SentAt, Hooks_.Now_()));
+  updateProgress(Listing);
 }
 
 void RunAgent::onMissedPoll(const std::string &Detail) {
@@ -411,6 +526,7 @@
 void RunAgent::tick() {
   const TimePoint Now = Hooks_.Now_();
   Speed_.decay(Now);
+  checkCandidates();
   if (!Tracker_.minion())
     return;
   if (const auto Lapsed = Tracker_.expire(Now); !Lapsed.empty()) {
@@ -418,6 +534,8 @@
                 "runs=" + std::to_string(Lapsed.size()));
     onRunsEnded(Lapsed);
   }
+  if (MinionLeaving_ && !Reachable_ && Tracker_.runCount() == 0)
+    return removeMinion();
   stopUnproductive();
   if (Now - LastPollAt_ >= Options_.PollPeriod_)
     pollMinion(true);
--- a/packages/request/include/wigeonwall/request/run.h
+++ b/packages/request/include/wigeonwall/request/run.h
@@ -109,7 +109,7 @@
   /// Unix time of its start in ms; distinguishes incarnations with the same id.
   std::int64_t StartedAtMs_ = 0;
 
-  bool operator==(const MinionIncarnation &) const = default;
+  auto operator<=>(const MinionIncarnation &) const = default;
 };
 
 /// \brief State that a minion registers with its agent.
--- a/packages/request/include/wigeonwall/request/run_tracker.h
+++ b/packages/request/include/wigeonwall/request/run_tracker.h
@@ -44,11 +44,14 @@
   /// \brief Applies a report of the minion. Returns the runs that were lost
   /// with an earlier incarnation.
   ///
-  /// Reports of earlier incarnations and outdated reports are ignored. A new
-  /// incarnation with the same id may have received start requests meant for
-  /// the earlier one, so runs that no listing has contained are kept until
-  /// their state is certain.
+  /// Outdated reports are ignored. A report of another incarnation replaces the
+  /// present one, so the caller must have verified that the present one has
+  /// ended. A new incarnation with the same id may have received start requests
+  /// meant for the earlier one, so runs that no listing has contained are kept
+  /// until their state is certain.
   std::vector<EndedRun> onReport(const MinionReport &Report, TimePoint Now);
+  /// \brief Starts no more runs on the minion until its next report.
+  void onDepartureAnnounced();
   /// \brief Removes a minion that has left; returns its runs as lost.
   std::vector<EndedRun> onDeparture(const MinionIncarnation &Incarnation);
 
--- a/packages/request/src/run_tracker.cpp
+++ b/packages/request/src/run_tracker.cpp
@@ -22,8 +22,6 @@
                                            TimePoint Now) {
   std::vector<EndedRun> Ended;
   if (Minion_ && Minion_->Incarnation_ != Report.Incarnation_) {
-    if (Report.Incarnation_.StartedAtMs_ < Minion_->Incarnation_.StartedAtMs_)
-      return Ended;
     Ended = replaceIncarnation(
         Report.Incarnation_.Id_ == Minion_->Incarnation_.Id_, Now);
   } else if (Minion_ && Report.Sequence_ <= Minion_->Sequence_) {
@@ -63,6 +61,11 @@
   return Ended;
 }
 
+void RunTracker::onDepartureAnnounced() {
+  if (Minion_)
+    Minion_->Draining_ = true;
+}
+
 std::vector<EndedRun>
 RunTracker::onDeparture(const MinionIncarnation &Incarnation) {
   if (!Minion_ || Minion_->Incarnation_ != Incarnation)
--- a/tests/standins/fake_run_minion.cpp
+++ b/tests/standins/fake_run_minion.cpp
@@ -42,19 +42,24 @@
          10'000;
 }
 
+request::MinionIncarnation FakeRunMinion::incarnation() const {
+  return {Id_, BornMs_};
+}
+
 request::MinionReport FakeRunMinion::report(bool Draining) {
   request::MinionReport Result;
-  Result.Incarnation_ = {"minion-1", BornMs_};
+  Result.Incarnation_ = incarnation();
   Result.Sequence_ = ++Sequence_;
-  Result.Address_ = "127.0.0.1:1";
+  Result.Address_ = Address_;
   Result.Service_ = Service_;
+  Result.Labels_ = Labels_;
   Result.Capacity_ = Capacity_;
   Result.Draining_ = Draining;
   Result.ClockMs_ = clockMs();
   return Result;
 }
 
-void FakeRunMinion::restart() {
+void FakeRunMinion::restart(std::int64_t BornDifferenceMs) {
   for (const auto &[Key, Active] : Runs_)
     OnEnd_(Key.Task_, RunEnd::Lost);
   Runs_.clear();
@@ -62,11 +67,19 @@
   RefusedNumbers_.clear();
   Token_ = LeaseEndMs_ = Observed_ = Sequence_ = 0;
   NextEnd_ = 1;
-  BornMs_ += 1'000;
+  BornMs_ += BornDifferenceMs;
   Born_ = Loop_.now();
   ++Generation_;
 }
 
+void FakeRunMinion::terminate() {
+  for (const auto &[Key, Active] : Runs_)
+    OnEnd_(Key.Task_, RunEnd::Lost);
+  Runs_.clear();
+  Terminated_ = true;
+  ++Generation_;
+}
+
 void FakeRunMinion::end(const RunKey &Key, RunEnd End) {
   OnEnd_(Key.Task_, End);
   Runs_.erase(Key);
@@ -134,8 +147,12 @@
                 [this](const auto &Row) { return Row.Position_ <= Observed_; });
 }
 
-void FakeRunMinion::answerHold(std::function<void(HoldReply)> Done) {
+void FakeRunMinion::answerHold(const request::MinionIncarnation &Expected,
+                               std::function<void(HoldReply)> Done) {
   HoldReply Reply;
+  Reply.Gone_ = Terminated_ || Expected != incarnation();
+  if (Reply.Gone_)
+    return Loop_.after(ReplyDelay, [Done, Reply] { Done(Reply); });
   request::RunListing Listing;
   Listing.MinionClockMs_ = clockMs();
   for (const auto &[Key, Active] : Runs_) {
@@ -174,7 +191,7 @@
         Reachable_ ? next(StartFaults_) : CallFault::AppliedLate;
     if (Fault == CallFault::AppliedLate)
       Loop_.after(LateDelay, [this, Call, Generation = Generation_] {
-        if (Generation == Generation_)
+        if (Generation == Generation_ || LateCallsOutlastRestart_)
           (void)applyStart(Call);
       });
     const StartReply Answer = Fault == CallFault::AppliedLate
@@ -195,8 +212,15 @@
       return Loop_.after(ReplyDelay, [Done] { Done(true); });
     Loop_.after(OrderTimeout, [Done] { Done(false); });
   };
-  Result.Hold_ = [this, Alive](const auto &, const HoldCall &Call, auto Reply) {
+  Result.Hold_ = [this, Alive](const request::MinionReport &To,
+                               const HoldCall &Call, auto Reply) {
     const std::function<void(HoldReply)> Done = whileAlive(Alive, Reply);
+    if (Terminated_ || To.Address_ != Address_ || To.Incarnation_.Id_ != Id_) {
+      HoldReply Gone;
+      Gone.Gone_ = To.Address_ == Address_;
+      Gone.Detail_ = "not this process";
+      return Loop_.after(ReplyDelay, [Done, Gone] { Done(Gone); });
+    }
     const CallFault Fault =
         Reachable_ ? next(HoldFaults_) : CallFault::AppliedLate;
     if (Call.FencingToken_ < Token_)
@@ -216,10 +240,10 @@
     const auto Until = Loop_.now() + Call.Wait_;
     auto Poll = std::make_shared<std::function<void()>>();
     const std::weak_ptr<std::function<void()>> Weak = Poll;
-    *Poll = [this, Until, Done, Weak] {
+    *Poll = [this, Until, To, Done, Weak] {
       update();
       if (!Ended_.empty() || Loop_.now() >= Until)
-        return answerHold(Done);
+        return answerHold(To.Incarnation_, Done);
       Loop_.after(PollPeriod, [Again = Weak.lock()] { (*Again)(); });
     };
     (*Poll)();
--- a/tests/standins/fake_run_minion.h
+++ b/tests/standins/fake_run_minion.h
@@ -37,8 +37,13 @@
   [[nodiscard]] process::dispatch::MinionCalls
   calls(std::shared_ptr<const bool> Alive);
   [[nodiscard]] request::MinionReport report(bool Draining = false);
-  /// \brief Ends all runs and restarts the minion with the same id.
-  void restart();
+  /// \brief Ends all runs and restarts the minion with the same id, with a
+  /// start time that differs by \p BornDifferenceMs.
+  void restart(std::int64_t BornDifferenceMs = 1'000);
+  /// \brief Ends all runs; connections to the minion are refused from then on.
+  void terminate();
+  /// \brief Identity of the present process.
+  [[nodiscard]] request::MinionIncarnation incarnation() const;
 
   /// Faults of the next calls of each kind; each call consumes one.
   std::vector<CallFault> StartFaults_;
@@ -53,12 +58,18 @@
   /// Tasks that make no progress.
   std::set<std::string> StalledTasks_;
   bool Reachable_ = true;
+  /// If set, late calls also reach the next process of the minion.
+  bool LateCallsOutlastRestart_ = false;
   /// Called for each start and end that the minion applies.
   std::function<void(const std::string &Task)> OnStart_ = [](const auto &) {};
   std::function<void(const std::string &Task, request::RunEnd End)> OnEnd_ =
       [](const auto &, auto) {};
+  std::string Id_ = "minion-1";
+  /// Address in the reports; a call to another one is not answered here.
+  std::string Address_ = "127.0.0.1:1";
   /// Service that the minion belongs to.
   std::string Service_ = "permit-desk";
+  std::vector<std::string> Labels_;
   /// Speed of the minion's clock in percent of real time.
   int ClockPercent_ = 100;
 
@@ -86,7 +97,9 @@
   void applyStop(const request::RunKey &Key);
   void applyHold(const process::dispatch::HoldCall &Call);
   void end(const request::RunKey &Key, request::RunEnd End);
-  void answerHold(std::function<void(process::dispatch::HoldReply)> Done);
+  /// Like the codec, replies without a list if another process was meant.
+  void answerHold(const request::MinionIncarnation &Expected,
+                  std::function<void(process::dispatch::HoldReply)> Done);
   static CallFault next(std::vector<CallFault> &Faults);
 
   VirtualTime &Loop_;
@@ -102,6 +115,7 @@
   std::vector<request::EndedRow> Ended_;
   std::map<std::string, std::int64_t> RefusedNumbers_;
   std::uint64_t Generation_ = 0;
+  bool Terminated_ = false;
 };
 
 } // namespace wigeonwall::standins
--- a/tests/standins/platform_minion_server.cpp
+++ b/tests/standins/platform_minion_server.cpp
@@ -104,6 +104,10 @@
 void PlatformMinionServer::handle(const HttpRequest &Request,
                                   const HttpRespond &Respond) {
   BeforeCall_();
+  if (connection::findHeader(Request.Headers_,
+                             "wigeonwall-expected-instance") !=
+      Minion_.incarnation().Id_)
+    return Respond(makeResponse(421, Json::Value(Json::objectValue)));
   request::CodecFault SyntaxFault;
   const auto Body = request::parseJson(Request.Body_, SyntaxFault);
   if (!Body)
@@ -148,7 +152,7 @@
   Call.FencingToken_ = Body["fencing_token"].asInt64();
   Call.Observed_ = Body["observed"].asInt64();
   Call.Wait_ = std::chrono::milliseconds(Body["wait_ms"].asInt64());
-  const std::int64_t Born = Minion_.report().Incarnation_.StartedAtMs_;
+  const std::int64_t Born = Minion_.incarnation().StartedAtMs_;
   Calls_.Hold_(Minion_.report(), Call, [Respond, Born](const HoldReply &Reply) {
     Json::Value Answer(Json::objectValue);
     if (Reply.Fenced_) {
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -237,3 +237,10 @@
   for (const auto &Each : Accepted_)
     BOOST_TEST(Each->count("GET /c ") == 0U);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_refused_connection_is_reported_as_refused, Fixture) {
+  Acceptor_.close();
+  const HttpResult Result = await(send("/a"));
+  BOOST_TEST((Result.Error_ == TransportError::NotSent));
+  BOOST_TEST(Result.Refused_);
+}
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -217,6 +217,11 @@
   BOOST_TEST((Reply.Listing_->Ended_.at(2).End_ == RunEnd::Lapsed));
   // Reply from another process of the minion at the same address.
   BOOST_TEST(!decodeHoldReply(Response, {"i-1", 1778}).Listing_);
+  BOOST_TEST(decodeHoldReply(Response, {"i-1", 1778}).Gone_);
+  Response.Body_ = R"({"clock_ms":482113,"running":[],"finished":[]})";
+  BOOST_TEST(!decodeHoldReply(Response, {"i-1", 1777}).Listing_);
+  Response.Status_ = 421;
+  BOOST_TEST(decodeHoldReply(Response, {"i-1", 1777}).Gone_);
   Response.Status_ = 409;
   Response.Body_ = R"({"reason":"fence"})";
   BOOST_TEST(decodeHoldReply(Response, {"i-1", 1777}).Fenced_);
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -21,6 +21,8 @@
 struct Fixture {
   VirtualTime Loop_;
   FakeRunMinion Minion_{Loop_, {32'000, 65'536, 0}};
+  /// Further minions, reached by their addresses; used by newAgent().
+  std::vector<FakeRunMinion *> Others_;
   std::vector<std::pair<std::string, RunOutcome>> Outcomes_;
   request::Duration Expected_ = 100ms;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
@@ -31,13 +33,15 @@
     newAgent(1'000'000);
   }
 
-  /// Replaces the agent process with a new one.
-  void newAgent(std::int64_t Token) {
+  /// Replaces the agent process with a new one, which receives \p First or a
+  /// report of the minion.
+  void newAgent(std::int64_t Token,
+                std::optional<request::MinionReport> First = std::nullopt) {
     *Alive_ = false;
     Alive_ = std::make_shared<bool>(true);
     process::dispatch::RunAgentHooks Hooks;
     Hooks.Now_ = Loop_.clock();
-    Hooks.Minion_ = Minion_.calls(Alive_);
+    Hooks.Minion_ = calls();
     Hooks.SendOutcome_ = [this](const auto &Owner, const auto &Outcome) {
       Outcomes_.emplace_back(Owner, Outcome);
     };
@@ -46,10 +50,32 @@
     Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
     Agent_ = std::make_unique<RunAgent>(process::dispatch::RunAgentOptions{},
                                         Hooks, Token);
-    Agent_->onMinionReport(Minion_.report());
+    Agent_->onMinionReport(First ? *First : Minion_.report());
     advance(50ms);
   }
 
+  /// Calls to the minion at the address of the report.
+  process::dispatch::MinionCalls calls() {
+    std::map<std::string, process::dispatch::MinionCalls> Known;
+    for (FakeRunMinion *Each : Others_)
+      Known[Each->Address_] = Each->calls(Alive_);
+    const auto Default = Minion_.calls(Alive_);
+    const auto Find = [Known, Default](const request::MinionReport &To) {
+      const auto Found = Known.find(To.Address_);
+      return Found == Known.end() ? Default : Found->second;
+    };
+    process::dispatch::MinionCalls Result;
+    Result.Start_ = [Find](const auto &To, const auto &Call, auto Done) {
+      Find(To).Start_(To, Call, Done);
+    };
+    Result.Stop_ = [Find](const auto &To, const auto &Key, auto Token,
+                          auto Done) { Find(To).Stop_(To, Key, Token, Done); };
+    Result.Hold_ = [Find](const auto &To, const auto &Call, auto Done) {
+      Find(To).Hold_(To, Call, Done);
+    };
+    return Result;
+  }
+
   void advance(request::Duration Span) {
     for (request::Duration Passed{}; Passed < Span; Passed += 25ms) {
       Loop_.advance(25ms);
@@ -240,6 +266,7 @@
   advance(100ms);
   Minion_.restart();
   Agent_->onMinionReport(Minion_.report());
+  advance(25ms);
   BOOST_TEST(count(RunEnd::Lost) == 10u);
   Minion_.RunTime_ = 100ms;
   advance(100ms);
@@ -261,6 +288,145 @@
   BOOST_TEST(count(RunEnd::Done) == 1u);
 }
 
+// A well-formed report of an unknown process ended the runs of the present
+// minion as lost while they were active, and the present minion was ignored
+// from then on.
+BOOST_AUTO_TEST_CASE(a_report_of_an_unknown_process_ends_no_runs) {
+  Minion_.RunTime_ = Expected_ = 900ms;
+  order("a", 10);
+  advance(200ms);
+  for (const char *Address : {"127.0.0.1:1", "127.0.0.1:2"}) {
+    request::MinionReport Foreign = Minion_.report();
+    Foreign.Incarnation_ = {std::string("foreign-") + Address, 5'000};
+    Foreign.Address_ = Address;
+    Foreign.Service_ = "no-such-service";
+    Foreign.Sequence_ = 1;
+    Agent_->onMinionReport(Foreign);
+  }
+  advance(2s);
+  BOOST_TEST(count(RunEnd::Lost) == 0u);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+  Agent_->onMinionReport(Minion_.report());
+  order("b", 10);
+  advance(2s);
+  BOOST_TEST(count(RunEnd::Done) == 20u);
+  BOOST_TEST(Minion_.Breaches_.empty());
+}
+
+// The first report that an agent received decided which minion it used.
+BOOST_AUTO_TEST_CASE(a_foreign_first_report_does_not_exclude_the_minion) {
+  request::MinionReport Foreign = Minion_.report();
+  Foreign.Incarnation_ = {"foreign", 5'000};
+  newAgent(2'000'000, Foreign);
+  BOOST_TEST(!Agent_->report().Accepting_);
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+// A process that answers at another address is no proof that the present minion
+// has ended.
+BOOST_AUTO_TEST_CASE(a_second_minion_does_not_replace_one_that_answers) {
+  FakeRunMinion Second{Loop_, {32'000, 65'536, 0}};
+  Second.Id_ = "minion-2";
+  Second.Address_ = "127.0.0.1:2";
+  Second.Needs_ = TaskNeeds;
+  Others_ = {&Second};
+  newAgent(2'000'000);
+  Minion_.RunTime_ = Second.RunTime_ = Expected_ = 900ms;
+  order("a", 10);
+  advance(200ms);
+  Agent_->onMinionReport(Second.report());
+  advance(2s);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+  BOOST_TEST(Agent_->minion()->Incarnation_.Id_ == "minion-1");
+  // Once the present minion has ended, the second one is used.
+  order("b", 10);
+  advance(200ms);
+  Minion_.terminate();
+  for (int I = 0; I < 4; ++I) {
+    Agent_->onMinionReport(Second.report());
+    advance(1s);
+  }
+  BOOST_TEST(Agent_->minion()->Incarnation_.Id_ == "minion-2");
+  BOOST_TEST(count(RunEnd::Lapsed) == 10u);
+  order("c", 10);
+  advance(2s);
+  BOOST_TEST(count(RunEnd::Done) == 20u);
+}
+
+// A new process whose machine's clock was set back in between was ignored,
+// because it seemed to be older than the one before.
+BOOST_AUTO_TEST_CASE(a_minion_that_seems_older_is_used_if_it_answers) {
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  Minion_.restart(-5'000);
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_does_not_move_the_present_minion) {
+  request::MinionReport Moved = Minion_.report();
+  Moved.Address_ = "127.0.0.1:2";
+  Agent_->onMinionReport(Moved);
+  Moved = Minion_.report();
+  Moved.Service_ = "no-such-service";
+  Agent_->onMinionReport(Moved);
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+// A late notice of an earlier process, or one from another sender, ended the
+// runs as lost while they were active.
+BOOST_AUTO_TEST_CASE(a_notice_to_leave_ends_no_active_runs) {
+  Minion_.RunTime_ = Expected_ = 900ms;
+  order("a", 10);
+  advance(200ms);
+  Agent_->onMinionLeaving(Minion_.incarnation());
+  order("b", 1);
+  advance(100ms);
+  BOOST_TEST(count(RunEnd::Lost) == 0u);
+  BOOST_TEST(count(RunEnd::NeverRan) == 1u);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+  // It is used again if it goes on to report that it is ready.
+  Agent_->onMinionReport(Minion_.report());
+  order("c", 1);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Done) == 11u);
+}
+
+BOOST_AUTO_TEST_CASE(runs_are_lost_once_a_leaving_minion_has_ended) {
+  Minion_.RunTime_ = Expected_ = 900ms;
+  order("a", 10);
+  advance(200ms);
+  Minion_.terminate();
+  Agent_->onMinionLeaving(Minion_.incarnation());
+  advance(50ms);
+  BOOST_TEST(count(RunEnd::Lost) == 10u);
+  BOOST_TEST(!Agent_->minion().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_minion_that_is_silent_is_removed) {
+  Minion_.RunTime_ = Expected_ = 900ms;
+  order("a", 10);
+  advance(200ms);
+  Minion_.Reachable_ = false;
+  Agent_->onMinionLeaving(Minion_.incarnation());
+  advance(500ms);
+  BOOST_TEST(count(RunEnd::Lapsed) + count(RunEnd::Lost) == 0u);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Lapsed) == 10u);
+  BOOST_TEST(!Agent_->minion().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(starts_nothing_on_a_draining_minion) {
   order("a", 12);
   Agent_->onMinionReport(Minion_.report(true));
