Check the owner's session before each start and renewal

Cause: a pause was looked for when an order was taken and in the tick, but RunAgent::advance() starts queued tasks in a loop, each with a new lease.

Change: before each start the agent asks for the last contact with the owner; there is none after a pause. The time is read first and bounds the lease, so that the minion refuses a start that is sent after a pause. Polls renew leases only while a run has an owner with a session.

With the check before a start left out, a_pause_between_two_starts_ends_the_starts and nothing_is_started_for_a_silent_ owner fail; with renewals for nobody, leases_are_not_renewed_without_an_owner.

--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -53,6 +54,10 @@
   /// \brief Ends all sessions after the process has stalled, because pending
   /// messages may be older than the entries' latest decisions.
   void closeAllSessions(const std::string &Reason);
+  /// \brief Returns when the last message of an entry was received; empty if
+  /// it has no session.
+  [[nodiscard]] std::optional<request::TimePoint>
+  lastContact(const std::string &Owner) const;
   [[nodiscard]] std::size_t ownerCount() const noexcept {
     return Owners_.size();
   }
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -68,6 +68,11 @@
 struct RunAgentHooks {
   request::Clock Now_;
   MinionCalls Minion_;
+  /// Returns when the owner was last heard from. Empty if its session has ended
+  /// or the process has been paused, so that the owner may have given up its
+  /// runs meanwhile.
+  std::function<std::optional<request::TimePoint>(const std::string &Owner)>
+      LastContact_;
   std::function<void(const std::string &Owner, const RunOutcome &Outcome)>
       SendOutcome_;
   /// The agent's state has changed and should be reported.
@@ -82,6 +87,8 @@
 
 struct RunAgentOptions {
   request::RunTrackerOptions Tracker_;
+  /// Nothing is started for an owner that has been silent for longer.
+  request::Duration OwnerTimeout_ = std::chrono::milliseconds(700);
   /// Maximum wait of a hold call: a third of a lease, so that one lost reply
   /// does not let the leases expire.
   std::chrono::milliseconds HoldWait_{300};
@@ -192,13 +199,20 @@
   void applyListing(const request::RunListing &Listing,
                     request::TimePoint SentAt);
   void advance();
-  void startNext(request::WaitingRun Waiting);
+  /// Returns true if the owner, as of \p Now, still counts on the agent.
+  [[nodiscard]] bool holdsSession(const std::string &Owner,
+                                  request::TimePoint Now) const;
+  /// Returns false if the owner's session has ended; the run then waits until
+  /// it is removed with the session.
+  bool startNext(request::WaitingRun Waiting);
   void onStartReply(const request::RunKey &Key, request::StartReply Reply,
                     const std::string &Detail);
   /// Raises the fencing token above that of an earlier agent whose clock was
   /// ahead.
   void increaseFencingToken();
   void sendStops();
+  /// Returns true if a poll may renew the leases.
+  [[nodiscard]] bool mayRenewLeases(request::TimePoint Now) const;
   void pollMinion(bool Immediate);
   void onHoldReply(HoldReply Reply, request::TimePoint SentAt, bool Immediate);
   void onMissedPoll(const std::string &Detail);
--- a/packages/process/include/wigeonwall/process/runtime/stall_detector.h
+++ b/packages/process/include/wigeonwall/process/runtime/stall_detector.h
@@ -24,6 +24,8 @@
 
   /// \brief Records that the process is running; call from a periodic timer.
   void onTick() { LastTick_ = Boot_(); }
+  /// \brief Returns true from the end of a stall until it is taken.
+  [[nodiscard]] bool isStalled() const { return Boot_() - LastTick_ > Limit_; }
   /// \brief Returns the length of a stall since the last tick. Each stall is
   /// reported once.
   [[nodiscard]] std::optional<request::Duration> takeStall();
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -170,6 +170,14 @@
     Known->second.Link_->send(Frame);
 }
 
+std::optional<TimePoint>
+OwnerLinks::lastContact(const std::string &Name) const {
+  const auto Known = Owners_.find(Name);
+  if (Known == Owners_.end())
+    return std::nullopt;
+  return Known->second.LastReceivedAt_;
+}
+
 bool OwnerLinks::reportsChanges() const {
   return ReportPeriodPerOwner * Owners_.size() <= MaxReportPeriod;
 }
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -285,17 +285,28 @@
   };
   while (Reachable_ && !Leaving_) {
     auto Next = Queue_.takeNext(Now, Fits);
-    if (!Next)
+    if (!Next || !startNext(std::move(*Next)))
       break;
-    startNext(std::move(*Next));
   }
   sendStops();
   pollMinion(false);
   Hooks_.StateChanged_();
 }
 
-void RunAgent::startNext(request::WaitingRun Waiting) {
+bool RunAgent::holdsSession(const std::string &Owner, TimePoint Now) const {
+  const auto Contact = Hooks_.LastContact_(Owner);
+  return Contact && Now - *Contact <= Options_.OwnerTimeout_;
+}
+
+bool RunAgent::startNext(request::WaitingRun Waiting) {
+  // The process may be paused between any two starts. The time is read before
+  // the session is checked and bounds the lease, so that the minion refuses a
+  // start that is sent after a pause.
   const TimePoint Now = Hooks_.Now_();
+  if (!holdsSession(Waiting.Owner_, Now)) {
+    Queue_.add(std::move(Waiting));
+    return false;
+  }
   const RunKey Key =
       Tracker_.begin(Waiting.Task_, Waiting.MinNumber_, Waiting.Needs_, Now);
   Run Started;
@@ -325,6 +336,7 @@
                           if (Generation == MinionGeneration_)
                             onStartReply(Key, Reply, Detail);
                         });
+  return true;
 }
 
 void RunAgent::onStartReply(const RunKey &Key, StartReply Reply,
@@ -389,9 +401,7 @@
   const TimePoint Now = Hooks_.Now_();
   LastPollAt_ = Now;
   HoldCall Call;
-  // An unresponsive minion may still process renewals, and then the agent could
-  // not tell when the leases have expired.
-  if (MissedPolls_ < Options_.MaxMissedPolls_)
+  if (mayRenewLeases(Now))
     Call.LeaseEndMs_ = Tracker_.grantLease(Now);
   Call.FencingToken_ = FencingToken_;
   Call.Observed_ = Tracker_.lastObservedEnd();
@@ -407,6 +417,17 @@
       });
 }
 
+bool RunAgent::mayRenewLeases(TimePoint Now) const {
+  // An unresponsive minion may still process renewals, and then the agent could
+  // not tell when the leases have expired.
+  if (MissedPolls_ >= Options_.MaxMissedPolls_)
+    return false;
+  // A renewal extends all leases, also those of runs that are being stopped.
+  return std::any_of(Runs_.begin(), Runs_.end(), [&](const auto &Each) {
+    return holdsSession(Each.second.Owner_, Now);
+  });
+}
+
 void RunAgent::onHoldReply(HoldReply Reply, TimePoint SentAt, bool Immediate) {
   (Immediate ? ImmediatePollPending_ : LongPollPending_) = false;
   if (Reply.Fenced_)
--- a/tests/standins/burst_simulation.cpp
+++ b/tests/standins/burst_simulation.cpp
@@ -71,6 +71,7 @@
   process::dispatch::RunAgentHooks Hooks;
   Hooks.Now_ = Time_.clock();
   Hooks.Minion_ = Added.Minion_->calls(std::make_shared<bool>(true));
+  Hooks.LastContact_ = [this](const auto &) { return Time_.now(); };
   Hooks.SendOutcome_ = [this, &Added](const std::string &Owner,
                                       const RunOutcome &Outcome) {
     Time_.after(MessageLatency, [this, &Added, Owner, Outcome] {
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -24,6 +24,8 @@
   /// Further minions, reached by their addresses; used by newAgent().
   std::vector<FakeRunMinion *> Others_;
   std::vector<std::pair<std::string, RunOutcome>> Outcomes_;
+  std::function<std::optional<request::TimePoint>(const std::string &)>
+      LastContact_ = [this](const auto &) { return Loop_.now(); };
   request::Duration Expected_ = 100ms;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RunAgent> Agent_;
@@ -42,6 +44,9 @@
     process::dispatch::RunAgentHooks Hooks;
     Hooks.Now_ = Loop_.clock();
     Hooks.Minion_ = calls();
+    Hooks.LastContact_ = [this](const auto &Owner) {
+      return LastContact_(Owner);
+    };
     Hooks.SendOutcome_ = [this](const auto &Owner, const auto &Outcome) {
       Outcomes_.emplace_back(Owner, Outcome);
     };
@@ -227,6 +232,53 @@
   BOOST_TEST(count(RunEnd::Done) == 1u);
 }
 
+// After a pause, an agent started the rest of an order that its entry had given
+// up, while the caller's resubmission ran elsewhere.
+BOOST_AUTO_TEST_CASE(a_pause_between_two_starts_ends_the_starts) {
+  std::size_t Started = 0;
+  Minion_.OnStart_ = [&](const auto &) {
+    if (++Started == 3)
+      LastContact_ = [](const auto &) { return std::nullopt; };
+  };
+  order("a", 10);
+  advance(25ms);
+  BOOST_TEST(Started == 3u);
+  BOOST_TEST(Agent_->queueLength() == 7u);
+  Agent_->onOwnerLost("entry-1");
+  advance(200ms);
+  BOOST_TEST(Started == 3u);
+  BOOST_TEST(Minion_.running() == 0u);
+  BOOST_TEST(Agent_->queueLength() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_started_for_a_silent_owner) {
+  Minion_.RunTime_ = Expected_ = 400ms;
+  order("a", 20);
+  const request::TimePoint Contact = Loop_.now();
+  LastContact_ = [Contact](const auto &) { return Contact; };
+  advance(250ms);
+  BOOST_TEST(Agent_->queueLength() == 10u);
+  advance(200ms);
+  BOOST_TEST(Agent_->queueLength() == 0u);
+  order("b", 10);
+  advance(500ms);
+  BOOST_TEST(Agent_->queueLength() == 10u);
+  BOOST_TEST(Minion_.Starts_.size() == 20u);
+}
+
+// Polls renewed the leases of runs whose owner had given them up, as long as
+// their stops were lost.
+BOOST_AUTO_TEST_CASE(leases_are_not_renewed_without_an_owner) {
+  Minion_.RunTime_ = Expected_ = 10s;
+  order("a", 10);
+  advance(100ms);
+  LastContact_ = [](const auto &) { return std::nullopt; };
+  Minion_.StopFaults_.assign(1'000, CallFault::AppliedLate);
+  Agent_->onOwnerLost("entry-1");
+  advance(1'100ms);
+  BOOST_TEST(Minion_.running() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(reports_which_tasks_of_a_cancelled_job_ran) {
   Minion_.RunTime_ = Expected_ = 1s;
   order("a", 12);
--- a/tests/unit/stall_detector_test.cpp
+++ b/tests/unit/stall_detector_test.cpp
@@ -19,9 +19,11 @@
   Now += 400ms;
   BOOST_TEST(!Detector.takeStall().has_value());
   Now += 200ms;
+  BOOST_TEST(Detector.isStalled());
   const auto Stall = Detector.takeStall();
   BOOST_REQUIRE(Stall.has_value());
   BOOST_TEST((*Stall == 600ms));
+  BOOST_TEST(!Detector.isStalled());
   BOOST_TEST(!Detector.takeStall().has_value());
 }
 
