Read odd entries, heartbeats, documents and messages without harm

Reported by other operators: one odd entry among those of the minions ended the processes that read the list, or they stopped following it.

Cause: one item without a key, or with a value that is no base64 text, made each list and watch of the store fail, so that an entry followed nothing. Figures up to 2^63 in heartbeats, lists, configurations, orders and reports overflowed the sums that are made of them. Two names for one address replaced each other's sessions every 200 ms. An order with a clock ahead of the agent's counted as fresh.

Change: each decoder has limits for each field; an odd item is left out and counted; a second name for an address in use is ignored.

--- a/packages/connection/include/wigeonwall/connection/lease_store.h
+++ b/packages/connection/include/wigeonwall/connection/lease_store.h
@@ -21,6 +21,8 @@
   std::vector<StoredItem> Items_;
   /// Revision of the listing; a watch from it returns later changes.
   std::uint64_t Revision_ = 0;
+  /// Number of items without a readable key, which are left out.
+  std::size_t UnreadableItems_ = 0;
 };
 
 struct StoreChange {
@@ -32,6 +34,8 @@
 struct StoreChanges {
   std::vector<StoreChange> Changes_;
   std::uint64_t Revision_ = 0;
+  /// Number of changes without a readable key, which are left out.
+  std::size_t UnreadableItems_ = 0;
   /// The service no longer has the requested changes; list the prefix again.
   bool HistoryLost_ = false;
 };
--- a/packages/process/include/wigeonwall/process/dispatch/agent_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/agent_links.h
@@ -37,7 +37,8 @@
              AgentLinksHooks Hooks, std::string OwnName);
 
   /// \brief Sets the known agents as addresses by name. An agent that is
-  /// removed is kept until its session ends.
+  /// removed is kept until its session ends. A second name for an address in
+  /// use is ignored, because an agent has one session with an entry.
   void setAgents(const std::map<std::string, connection::Endpoint> &Agents);
   /// \brief Sends an order; returns its sequence number.
   std::uint64_t sendOrder(const std::string &Agent, RunOrder Order);
@@ -77,6 +78,11 @@
   /// Returns true if the agent has been silent for too long.
   [[nodiscard]] bool isSilent(const Remote &Peer, request::TimePoint Now) const;
   void expectAnswer(Remote &Peer) const;
+  /// Returns the name of another agent with this address; empty if none.
+  [[nodiscard]] std::string userOf(const connection::Endpoint &Address,
+                                   const std::string &Except) const;
+  /// Connects to the listed agents that have no connection yet.
+  void connectListed();
   void connect(const std::string &Name, Remote &Peer);
   void onConnected(const std::string &Name);
   void onMessage(const std::string &Name, connection::PeerMessage Message);
@@ -97,6 +103,7 @@
   AgentLinksHooks Hooks_;
   std::string OwnName_;
   std::uint64_t SessionCount_ = 0;
+  std::map<std::string, connection::Endpoint> ListedAgents_;
   std::map<std::string, Remote> Remotes_;
 };
 
--- a/packages/process/include/wigeonwall/process/dispatch/prefix_follower.h
+++ b/packages/process/include/wigeonwall/process/dispatch/prefix_follower.h
@@ -41,6 +41,8 @@
     /// Called with the cause when the store becomes unreachable, and with an
     /// empty string when it is reachable again.
     std::function<void(const std::string &Cause)> OnStoreStateChanged_;
+    /// Called with the number of items that could not be read.
+    std::function<void(std::size_t Count)> OnUnreadableItems_;
   };
 
   PrefixFollower(connection::LeaseStore &Store, PrefixFollowerOptions Options,
--- a/packages/process/src/dispatch/agent_links.cpp
+++ b/packages/process/src/dispatch/agent_links.cpp
@@ -15,9 +15,19 @@
 
 void AgentLinks::setAgents(
     const std::map<std::string, connection::Endpoint> &Agents) {
+  ListedAgents_ = Agents;
   for (auto &[Name, Peer] : Remotes_)
     Peer.Listed_ = Agents.count(Name) != 0;
-  for (const auto &[Name, Address] : Agents) {
+  connectListed();
+}
+
+void AgentLinks::connectListed() {
+  for (const auto &[Name, Address] : ListedAgents_) {
+    if (const std::string Other = userOf(Address, Name); !Other.empty()) {
+      Hooks_.Log_(Name, "member_ignored",
+                  "cause=duplicate_address other=" + Other);
+      continue;
+    }
     const auto Known = Remotes_.find(Name);
     if (Known != Remotes_.end() && Known->second.Address_ == Address)
       continue;
@@ -30,6 +40,15 @@
   }
 }
 
+std::string AgentLinks::userOf(const connection::Endpoint &Address,
+                               const std::string &Except) const {
+  for (const auto &[Name, Peer] : Remotes_)
+    if (Name != Except && Peer.Address_ == Address &&
+        (Peer.Listed_ || Peer.Established_))
+      return Name;
+  return {};
+}
+
 void AgentLinks::resetSession(Remote &Peer) {
   Peer.Session_ = connection::PeerSession();
   Peer.SessionId_ = OwnName_ + "/" + std::to_string(++SessionCount_);
@@ -211,6 +230,7 @@
 
 void AgentLinks::tick() {
   const TimePoint Now = Hooks_.Now_();
+  bool Removed = false;
   for (auto Each = Remotes_.begin(); Each != Remotes_.end();) {
     const auto Current = Each++;
     Remote &Peer = Current->second;
@@ -233,11 +253,15 @@
       continue;
     if (!Peer.Listed_ && !Peer.Established_) {
       Remotes_.erase(Current);
+      Removed = true;
       continue;
     }
     if (Now - Peer.ConnectStartedAt_ >= Timing_.ReconnectDelay_)
       connect(Current->first, Peer);
   }
+  // The removed agent may have used the address of a listed one.
+  if (Removed)
+    connectListed();
 }
 
 std::size_t AgentLinks::connectedCount() const noexcept {
--- a/packages/process/src/dispatch/member_list.cpp
+++ b/packages/process/src/dispatch/member_list.cpp
@@ -7,7 +7,7 @@
   MemberList Result;
   for (const auto &[Key, Address] : Values) {
     const auto Parsed = connection::parseEndpoint(Address);
-    if (!Parsed)
+    if (!Parsed || Parsed->Port_ == 0)
       Result.InvalidKeys_.push_back(Key);
     else if (Key.starts_with(AgentKeyPrefix))
       Result.Agents_[Key.substr(std::string(AgentKeyPrefix).size())] = *Parsed;
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -28,12 +28,27 @@
 /// Longest time in a message, in either direction.
 constexpr std::chrono::microseconds MaxTime = std::chrono::hours(24);
 
+/// Largest amount of a resource, slowness, clock reading or run number in a
+/// message; sums of them do not overflow.
+constexpr std::int64_t MaxAmount = 1'000'000'000'000;
+constexpr std::int64_t MaxNumber = std::int64_t{1} << 53;
+
+/// Throws for a value outside of \p Min to \p Max.
+void requireRange(std::int64_t Value, std::int64_t Min, std::int64_t Max) {
+  if (Value < Min || Value > Max)
+    throw msgpack::type_error();
+}
+
+void requireRange(const request::Resources &Value, std::int64_t Min) {
+  requireRange(Value.CpuMillicores_, Min, MaxAmount);
+  requireRange(Value.MemoryMb_, Min, MaxAmount);
+  requireRange(Value.Gpus_, Min, MaxAmount);
+}
+
 /// Throws for a time that is not valid in any message.
 request::Duration fromMicroseconds(std::int64_t Value) {
-  const std::chrono::microseconds Time(Value);
-  if (Time < -MaxTime || Time > MaxTime)
-    throw msgpack::type_error();
-  return Time;
+  requireRange(Value, -MaxTime.count(), MaxTime.count());
+  return std::chrono::microseconds(Value);
 }
 
 /// Calls \p Read; a malformed message sets a fault and is rejected completely.
@@ -118,11 +133,14 @@
     Result.TimeToDeadline_ = fromMicroseconds(TimeToDeadline);
     Result.TimeToExpiry_ = fromMicroseconds(TimeToExpiry);
     Result.MaxWait_ = fromMicroseconds(MaxWait);
-    if (Tasks.size() % 2 != 0 || !request::Resources{}.fitsIn(Result.Needs_))
+    requireRange(Result.Needs_, 0);
+    requireRange(Expected, 0, MaxTime.count());
+    requireRange(Result.AgentClockMs_, 0, MaxNumber);
+    if (Tasks.size() % 2 != 0)
       throw msgpack::type_error();
     for (std::size_t I = 0; I < Tasks.size(); I += 2) {
-      if (Tasks[I] < 0 || Tasks[I] > std::numeric_limits<std::uint32_t>::max())
-        throw msgpack::type_error();
+      requireRange(Tasks[I], 0, std::numeric_limits<std::uint32_t>::max());
+      requireRange(Tasks[I + 1], 0, MaxNumber);
       Result.Tasks_.push_back(
           {static_cast<std::uint32_t>(Tasks[I]), Tasks[I + 1]});
     }
@@ -144,6 +162,7 @@
     std::tie(Result.Job_, Result.Index_, End, Result.Number_, Result.Reason_) =
         unpack<std::string, std::uint32_t, std::string_view, std::int64_t,
                std::string>(Bytes);
+    requireRange(Result.Number_, 0, MaxNumber);
     const auto Known = request::findValue(request::RunEndNames, End);
     if (!Known)
       throw msgpack::type_error();
@@ -182,6 +201,10 @@
         unpack<bool, std::int64_t, bool, std::int64_t, std::int64_t,
                std::int64_t, std::int64_t, Us, Us, Us, Us,
                std::optional<std::string_view>>(Bytes);
+    requireRange(Result.AgentClockMs_, 0, MaxNumber);
+    // More tasks may be waiting than the minion has capacity for.
+    requireRange(Result.Free_, -MaxAmount);
+    requireRange(Slowness, 1, MaxAmount);
     Result.Slowness_ = static_cast<double>(Slowness) / SlownessUnit;
     for (std::size_t I = 0; I < Waits.size(); ++I)
       Result.Waits_[I] = fromMicroseconds(Waits[I]);
@@ -191,6 +214,7 @@
                Result.Labels_) =
           unpack<std::string, std::int64_t, std::int64_t, std::int64_t,
                  std::vector<std::string>>(*Minion);
+    requireRange(Result.Capacity_, 0);
     return Result;
   });
 }
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -120,7 +120,8 @@
   // The entry may have been paused, or the message held up, for so long that
   // the entry has given the tasks to another agent.
   const std::chrono::milliseconds Age(clockMs() - Order.AgentClockMs_);
-  if (Age <= Timing_.OwnerTimeout_)
+  // A clock ahead of the agent's own was not read from any of its reports.
+  if (Age >= Age.zero() && Age <= Timing_.OwnerTimeout_)
     return Hooks_.OnOrder_(Name, Order);
   Hooks_.Log_(Name, "order_declined",
               "job=" + Order.Job_ +
--- a/packages/process/src/dispatch/prefix_follower.cpp
+++ b/packages/process/src/dispatch/prefix_follower.cpp
@@ -32,6 +32,8 @@
         if (!Listing)
           return Self->retry(Fault.Message_, &PrefixFollower::list);
         Self->onSuccess();
+        if (Listing->UnreadableItems_ > 0)
+          Self->Hooks_.OnUnreadableItems_(Listing->UnreadableItems_);
         Self->Values_.clear();
         for (connection::StoredItem &Item : Listing->Items_)
           Self->Values_[Item.Key_] = std::move(Item.Value_);
@@ -64,6 +66,8 @@
         Self->onSuccess();
         if (Changes->HistoryLost_)
           return Self->list();
+        if (Changes->UnreadableItems_ > 0)
+          Self->Hooks_.OnUnreadableItems_(Changes->UnreadableItems_);
         for (connection::StoreChange &Each : Changes->Changes_) {
           if (Each.Deleted_)
             Self->Values_.erase(Each.Item_.Key_);
--- a/tests/unit/dispatch_links_test.cpp
+++ b/tests/unit/dispatch_links_test.cpp
@@ -206,6 +206,53 @@
   BOOST_TEST((Orders_ == std::vector<std::string>{"b"}));
 }
 
+BOOST_AUTO_TEST_CASE(an_order_with_a_clock_ahead_of_the_agent_is_declined) {
+  Entry_.reset();
+  const auto Peer = standins::RawPeer::open(Context_, Port);
+  connection::PeerSession Session;
+  Peer->send(Session.unsequencedFrame("hello", encodeHello({"old", "1"})));
+  RunOrder Order;
+  Order.Job_ = "a";
+  Order.AgentClockMs_ = std::int64_t{1} << 52;
+  Order.Tasks_ = {{0, 1}};
+  Peer->send(Session.sequencedFrame("order", encodeOrder(Order)));
+  run(20ms);
+  BOOST_TEST(Orders_.empty());
+  BOOST_TEST(Peer->count("stale_order") == 1u);
+}
+
+// An agent has one session with an entry. Two names for its address replaced
+// each other's sessions, and the runs were ended each time.
+BOOST_AUTO_TEST_CASE(a_second_name_for_an_address_is_ignored) {
+  run(100ms);
+  EndsTasks_ = false;
+  order("a");
+  run(50ms);
+  Entry_->setAgents({{"agent", {"127.0.0.1", Port}},
+                     {"a-copy", {"127.0.0.1", Port}},
+                     {"copy", {"127.0.0.1", Port}}});
+  run(300ms);
+  BOOST_TEST(LostAgents_.empty());
+  BOOST_TEST(LostOwners_.empty());
+  BOOST_TEST(Entry_->connectedCount() == 1u);
+  // The other name is used once the first one has left and its session ended.
+  Entry_->setAgents({{"copy", {"127.0.0.1", Port}}});
+  run(50ms);
+  BOOST_TEST(LostAgents_.empty());
+  Agent_.reset();
+  run(400ms);
+  Agent_ = makeAgent();
+  run(300ms);
+  BOOST_TEST(Entry_->connectedCount() == 1u);
+  Owner_.clear();
+  RunOrder Order;
+  Order.Job_ = "b";
+  Order.Tasks_ = {{0, 1}};
+  Entry_->sendOrder("copy", Order);
+  run(50ms);
+  BOOST_TEST(Owner_ == "entry@1");
+}
+
 BOOST_AUTO_TEST_CASE(
     detects_a_terminated_agent_and_reconnects_to_its_successor) {
   run(100ms);
--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -129,6 +129,32 @@
                   .has_value());
   BOOST_TEST(!decodeReport(connection::pack("x"), request::AgentReport{}, Fault)
                   .has_value());
+  // Figures whose sums would overflow.
+  const auto Report = [](std::int64_t Clock, std::int64_t Cpu,
+                         std::int64_t Slowness, std::int64_t Capacity) {
+    return connection::pack(
+        true, Clock, true, Cpu, 0, 0, Slowness, 0, 0, 0, 0,
+        std::optional<std::string>(
+            connection::pack("s", Capacity, 0, 0, std::vector<std::string>{})));
+  };
+  const request::AgentReport None;
+  BOOST_TEST(decodeReport(Report(1, -1, 1'000, 1), None, Fault).has_value());
+  for (const std::string &Bytes :
+       {Report(-1, 1, 1, 1), Report(INT64_MAX, 1, 1, 1),
+        Report(1, INT64_MIN, 1, 1), Report(1, INT64_MAX, 1, 1),
+        Report(1, 1, 0, 1), Report(1, 1, -1, 1), Report(1, 1, INT64_MAX, 1),
+        Report(1, 1, 1, -1), Report(1, 1, 1, INT64_MAX)})
+    BOOST_TEST(!decodeReport(Bytes, None, Fault).has_value());
+  for (const std::int64_t Number : {std::int64_t{-1}, INT64_MAX, INT64_MIN}) {
+    BOOST_TEST(
+        !decodeOutcome(connection::pack("j", 0, "done", Number, ""), Fault)
+             .has_value());
+    BOOST_TEST(
+        !decodeOrder(Order("j", 1, 1, std::vector{std::int64_t{0}, Number}),
+                     Fault)
+             .has_value());
+    BOOST_TEST(!decodeOrder(Order("j", Number, 1, Tasks), Fault).has_value());
+  }
   BOOST_TEST(!decodeHello(connection::pack("entry"), Fault).has_value());
   BOOST_TEST(!decodeWelcome(connection::pack("yes"), Fault).has_value());
   BOOST_TEST(!decodeCancel("", Fault).has_value());
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -136,6 +136,17 @@
   BOOST_TEST((Job->CallerTimeout_ == 3012ms));
 }
 
+// The largest timeouts overflowed the time at which the job expires.
+BOOST_AUTO_TEST_CASE(limits_the_timeout_of_a_caller) {
+  HttpRequest Request =
+      post(R"({"spec":"x","steps":[{"count":1}],"best_effort":true})");
+  Request.Headers_ = {{"wigeonwall-deadline-ms", "9223372036854775807"}};
+  JobDecodeFault Fault;
+  const auto Job = decodeJob(Id, Request, Fault);
+  BOOST_REQUIRE(Job);
+  BOOST_TEST((Job->CallerTimeout_ == 24h));
+}
+
 BOOST_AUTO_TEST_CASE(decodes_targets_after_the_prefix) {
   version::Route Route;
   Route.Prefix_ = "/lohu930/";
@@ -175,6 +186,7 @@
   BOOST_TEST(Report->Capacity_.CpuMillicores_ == 16'000);
   BOOST_TEST(Report->ClockMs_ == 482'113);
   BOOST_TEST(Report->Labels_.size() == 2u);
+  const std::string Nested = std::string(100'000, '[');
   for (const auto &[From, To] :
        std::vector<std::pair<std::string, std::string>>{
            {"\"ready\"", "\"asleep\""},
@@ -182,6 +194,27 @@
            {"10.128.0.9:8080", "nowhere"},
            {"16000", "\"many\""},
            {"\"sequence\":4", "\"sequence\":\"x\""},
+           {"10.128.0.9:8080", "10.128.0.9:0"},
+           {"10.128.0.9:8080", "10.128.0.9:65536"},
+           {"10.128.0.9:8080", "10.128.0.9:-1"},
+           {"16000", "-1"},
+           {"16000", "16000.5"},
+           {"16000", "9223372036854775807"},
+           {"16000", "99999999999999999999"},
+           {"16000", "1e400"},
+           {"32768", "[32768]"},
+           {"\"gpu\":0", "\"gpu\":true"},
+           {"\"gpu\":0", "\"gpu\":-3"},
+           {"482113", "9223372036854775807"},
+           {"482113", "-482113"},
+           {"1777", "18446744073709551615"},
+           {"1777", "-1"},
+           {"\"sequence\":4", "\"sequence\":1e18"},
+           {"\"r1-3\"", "{}"},
+           {"\"r1-3\"", "7"},
+           {"[\"a\",\"r1-3\"]", "\"a\""},
+           {"[\"a\",\"r1-3\"]", "{\"a\":\"r1-3\"}"},
+           {"\"z\"", Nested},
            {"}", ""}}) {
     std::string Bad = GoodReport;
     Bad.replace(Bad.find(From), From.size(), To);
@@ -190,6 +223,84 @@
   BOOST_TEST(!decodeMinionReport("", GoodReport, Fault));
 }
 
+// A list with one odd value is rejected as a whole: without its rows, active
+// runs would look as if they had ended.
+BOOST_AUTO_TEST_CASE(rejects_lists_with_an_odd_value) {
+  const std::string Good =
+      R"({"clock_ms":482113,"born":1777,"running":[["5c.0.0.17",2,"",41,9]],)"
+      R"("finished":[[58,"5c.0.0.9",1,"done",""]]})";
+  HttpResponse Response;
+  Response.Body_ = Good;
+  BOOST_REQUIRE(decodeHoldReply(Response, {"i-1", 1777}).Listing_);
+  const std::string Nested = std::string(100'000, '[');
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"482113", "1e400"},
+           {"482113", "99999999999999999999"},
+           {"482113", "{}"},
+           {"\"5c.0.0.17\",2", "\"5c.0.0.17\",9223372036854775807"},
+           {"\"5c.0.0.17\",2", "\"5c.0.0.17\",-2"},
+           {"\"5c.0.0.17\",2", "17,2"},
+           {"[58,", "[9223372036854775807,"},
+           {"[58,", "[\"58\","},
+           {"\"done\"", "{}"},
+           {"[[58,\"5c.0.0.9\",1,\"done\",\"\"]]", "[58]"},
+           {"[[58,\"5c.0.0.9\",1,\"done\",\"\"]]", "{}"},
+           {"1777", "\"1777\""},
+           {"\"\",41", Nested},
+       }) {
+    Response.Body_ = Good;
+    Response.Body_.replace(Good.find(From), From.size(), To);
+    const auto Reply = decodeHoldReply(Response, {"i-1", 1777});
+    BOOST_TEST_CONTEXT(Response.Body_.substr(0, 200)) {
+      BOOST_TEST(!Reply.Listing_);
+      BOOST_TEST(!Reply.Gone_);
+    }
+  }
+  // Progress is only a hint.
+  for (const char *Percent : {"1e9", "-5", "\"x\"", "[]", "41.5"}) {
+    Response.Body_ = Good;
+    Response.Body_.replace(Good.find("41"), 2, Percent);
+    BOOST_TEST_CONTEXT(Percent)
+    BOOST_TEST(decodeHoldReply(Response, {"i-1", 1777}).Listing_.has_value());
+  }
+}
+
+// Odd figures overflowed the times that are computed from them.
+BOOST_AUTO_TEST_CASE(rejects_a_route_table_with_an_odd_value) {
+  const std::string Good =
+      R"({"version":7,"routes":[{"name":"r1","host":"h","prefix":"/a/",)"
+      R"("service":"s","target_latency_ms":60,"priority":1,"max_attempts":3,)"
+      R"("slack_factor":1.6}]})";
+  ConfigFault Fault;
+  BOOST_REQUIRE(decodeRouteTable(Good, Fault));
+  const std::string Nested = std::string(100'000, '[');
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\"version\":7", "\"version\":99999999999999999999"},
+           {"\"version\":7", "\"version\":[]"},
+           {"1.6", "1e300"},
+           {"1.6", "-1"},
+           {"1.6", "\"x\""},
+           {":60", ":9000000000000000"},
+           {":60", ":-60"},
+           {":3", ":4000000000"},
+           {":3", ":99999999999"},
+           {"\"priority\":1", "\"priority\":1e12"},
+           {"\"h\"", "{}"},
+           {"\"h\"", Nested},
+           {"[{", "[7,{"},
+       }) {
+    std::string Bad = Good;
+    Bad.replace(Bad.find(From), From.size(), To);
+    Fault = {};
+    BOOST_TEST_CONTEXT(Bad.substr(0, 200)) {
+      BOOST_TEST(!decodeRouteTable(Bad, Fault));
+      BOOST_TEST(!Fault.Message_.empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(classifies_start_replies) {
   for (const StartCase &Each : StartCases) {
     HttpResponse Response;
--- a/tests/unit/store_followers_test.cpp
+++ b/tests/unit/store_followers_test.cpp
@@ -28,6 +28,7 @@
         return Done(std::nullopt, {StoreError::Unknown, "down", ""});
       StoreListing Listing;
       Listing.Revision_ = Revision_;
+      Listing.UnreadableItems_ = UnreadableItems_;
       for (const auto &[Key, Value] : Keys_)
         Listing.Items_.push_back({Key, Value, Revision_});
       Done(Listing, {});
@@ -49,6 +50,7 @@
       for (const auto &[Revision, Change] : Log_)
         if (Revision > After)
           Changes.Changes_.push_back(Change);
+      Changes.UnreadableItems_ = UnreadableItems_;
       Changes.Revision_ = Revision_;
       Done(Changes, {});
     });
@@ -88,6 +90,7 @@
   }
 
   bool Down_ = false;
+  std::size_t UnreadableItems_ = 0;
   std::uint64_t Compacted_ = 0;
   int EndedLeases_ = 0;
   int Leases_ = 0;
@@ -115,6 +118,7 @@
   FakeLeaseStore Store_{Time_};
   std::vector<PrefixFollower::Values> Seen_;
   std::vector<std::string> StoreStates_;
+  std::size_t Unreadable_ = 0;
   std::vector<std::string> Events_;
 
   process::Schedule schedule() {
@@ -132,6 +136,9 @@
     Hooks.OnStoreStateChanged_ = [this](const auto &Cause) {
       StoreStates_.push_back(Cause);
     };
+    Hooks.OnUnreadableItems_ = [this](std::size_t Count) {
+      Unreadable_ += Count;
+    };
     auto Result = std::make_shared<PrefixFollower>(Store_, Options, Hooks);
     Result->start();
     Time_.advance(10ms);
@@ -168,6 +175,17 @@
   BOOST_TEST(Seen_.back().count("p/a") == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(reports_unreadable_items_and_follows_the_others) {
+  Store_.put("p/a", "1");
+  Store_.UnreadableItems_ = 1;
+  const auto Follower = follow();
+  BOOST_TEST(Unreadable_ == 1u);
+  Store_.put("p/b", "2");
+  Time_.advance(3s);
+  BOOST_TEST(Unreadable_ >= 2u);
+  BOOST_TEST(Seen_.back().size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(keeps_known_keys_during_an_outage) {
   Store_.put("p/a", "1");
   const auto Follower = follow();
