Go on after an unexpected error of a handler

What operators of similar systems saw: one unexpected error took a whole process down.

Cause: the event loops caught no exceptions, and a tick, a watch or a poll whose handler threw was not scheduled again.

Change: an exception ends only its handler and is logged as handler_failed. A caller gets 500, a link is closed, periodic work and watches are scheduled before or despite the exception.

--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -124,10 +124,17 @@
       if (const auto Self = Weak.lock())
         Self->watchPeer(std::move(OnClosed));
     };
-    Server_->Handler_(std::move(Request),
-                      [Self = this->shared_from_this()](HttpResponse Response) {
-                        Self->write(std::move(Response));
-                      });
+    Answered_ = false;
+    try {
+      Server_->Handler_(std::move(Request), [Self = this->shared_from_this()](
+                                                HttpResponse Response) {
+        Self->write(std::move(Response));
+      });
+    } catch (...) {
+      if (!Answered_)
+        reject(500, "internal error");
+      throw;
+    }
   }
 
   void watchPeer(std::function<void()> OnClosed) {
@@ -161,6 +168,7 @@
   }
 
   void write(HttpResponse Response) {
+    Answered_ = true;
     OnPeerClosed_ = nullptr;
     Message_.emplace(static_cast<http::status>(Response.Status_), Version_);
     for (const auto &[Name, Value] : Response.Headers_)
@@ -211,6 +219,7 @@
   std::function<void()> OnPeerClosed_;
   unsigned Version_ = 11;
   bool KeepAlive_ = false;
+  bool Answered_ = false;
 };
 
 } // namespace detail
--- a/packages/connection/src/peer_connection.cpp
+++ b/packages/connection/src/peer_connection.cpp
@@ -97,7 +97,11 @@
     auto Message = parsePeerMessage(Remaining.substr(FrameHeaderBytes, Length));
     if (!Message)
       return fail("malformed message");
-    Callbacks_.OnMessage_(std::move(*Message));
+    try {
+      Callbacks_.OnMessage_(std::move(*Message));
+    } catch (const std::exception &Error) {
+      return fail(std::string("cannot handle a message: ") + Error.what());
+    }
     Remaining.remove_prefix(FrameHeaderBytes + Length);
   }
   if (!Open_)
--- a/packages/process/include/wigeonwall/process/observation/log.h
+++ b/packages/process/include/wigeonwall/process/observation/log.h
@@ -62,6 +62,9 @@
               std::initializer_list<LogField> Fields = {},
               LogLevel Level = LogLevel::Info);
 
+/// \brief Logs an exception that a handler of an event loop did not catch.
+void logHandlerError(const std::string &Message);
+
 /// \brief Quotes and escapes a value that is empty or contains spaces, quotes,
 /// backslashes, "=" or control characters, so that it stays on one line.
 [[nodiscard]] std::string quoteLogValue(std::string_view Value);
--- a/packages/process/include/wigeonwall/process/roles/dispatch_process.h
+++ b/packages/process/include/wigeonwall/process/roles/dispatch_process.h
@@ -9,6 +9,7 @@
 #include "wigeonwall/process/dispatch/dispatch_settings.h"
 #include "wigeonwall/process/dispatch/registration.h"
 #include "wigeonwall/process/observation/counters.h"
+#include "wigeonwall/process/observation/log.h"
 #include "wigeonwall/process/roles/process_host.h"
 #include "wigeonwall/process/runtime/event_loop.h"
 
@@ -69,7 +70,7 @@
   std::string SettingsFile_;
   // Declared first, because the event loops must outlive their users.
   connection::asio::io_context Control_{1};
-  EventLoop Traffic_;
+  EventLoop Traffic_{logHandlerError};
   connection::asio::signal_set Signals_;
   connection::HttpServer Metrics_;
   ExitCode ExitCode_ = ExitCode::Done;
--- a/packages/process/include/wigeonwall/process/runtime/event_loop.h
+++ b/packages/process/include/wigeonwall/process/runtime/event_loop.h
@@ -11,10 +11,23 @@
 
 namespace wigeonwall::process {
 
+/// \brief Called with the message of an exception that a handler did not catch.
+using HandlerErrorHook = std::function<void(const std::string &Message)>;
+
+/// \brief Runs the handlers of \p Context until it is stopped or has no work.
+///
+/// An exception that a handler does not catch is passed to \p OnError and ends
+/// only that handler, so that one unexpected message does not end the process.
+/// Without a hook it is not caught.
+void runHandlers(connection::asio::io_context &Context,
+                 const HandlerErrorHook &OnError);
+
 /// \brief Owns an io_context and the thread that runs it.
 class EventLoop {
 public:
-  EventLoop() = default;
+  /// See runHandlers() for \p OnError.
+  explicit EventLoop(HandlerErrorHook OnError = nullptr)
+      : OnError_(std::move(OnError)) {}
   ~EventLoop() { stop(); }
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
@@ -35,6 +48,7 @@
 private:
   // The concurrency hint 1 lets Asio omit locks: one thread runs the loop.
   connection::asio::io_context Context_{1};
+  HandlerErrorHook OnError_;
   std::thread Thread_;
 };
 
@@ -47,7 +61,8 @@
 makePeerCall(connection::asio::io_context &Context,
              std::shared_ptr<connection::RpcClient> Client);
 
-/// \brief Calls \p Tick every \p Period until the event loop ends.
+/// \brief Calls \p Tick every \p Period until the event loop ends, also after
+/// a call that threw an exception.
 void tickEvery(const Schedule &After, request::Duration Period,
                std::function<void()> Tick);
 
--- a/packages/process/src/dispatch/prefix_follower.cpp
+++ b/packages/process/src/dispatch/prefix_follower.cpp
@@ -39,8 +39,9 @@
           Self->Values_[Item.Key_] = std::move(Item.Value_);
         Self->Revision_ = Listing->Revision_;
         Self->Listed_ = true;
-        Self->Hooks_.OnValuesChanged_(Self->Values_);
+        // Watches first, so that a hook that throws does not end the watch.
         Self->watch();
+        Self->Hooks_.OnValuesChanged_(Self->Values_);
       });
 }
 
@@ -77,8 +78,8 @@
         Self->Revision_ = std::max(Self->Revision_, Changes->Revision_);
         if (Changes->Changes_.empty())
           return Self->watch();
-        Self->Hooks_.OnValuesChanged_(Self->Values_);
         Self->watchAfterBatchDelay();
+        Self->Hooks_.OnValuesChanged_(Self->Values_);
       });
 }
 
--- a/packages/process/src/observation/log.cpp
+++ b/packages/process/src/observation/log.cpp
@@ -181,6 +181,10 @@
   logger().forcedLog(NativeLevel, Line);
 }
 
+void logHandlerError(const std::string &Message) {
+  logEvent("process", "handler_failed", {{"detail", Message}}, LogLevel::Error);
+}
+
 std::string quoteLogValue(std::string_view Value) {
   if (!Value.empty() && std::all_of(Value.begin(), Value.end(), needsNoQuoting))
     return std::string(Value);
--- a/packages/process/src/roles/dispatch_process.cpp
+++ b/packages/process/src/roles/dispatch_process.cpp
@@ -52,7 +52,7 @@
             {"store", connection::formatEndpoint(Options_.Store_)}});
   awaitSignal();
   Traffic_.start();
-  Control_.run();
+  runHandlers(Control_, logHandlerError);
   Traffic_.stop();
   logEvent("process", "stopped",
            {{"drained", ExitCode_ == ExitCode::Done ? "yes" : "no"}});
@@ -81,11 +81,11 @@
   Signals_.async_wait([this](auto Error, int Signal) {
     if (Error)
       return;
+    awaitSignal();
     if (Signal == SIGHUP)
       checkSettingsFile();
     else
       stop(Signal);
-    awaitSignal();
   });
 }
 
--- a/packages/process/src/roles/process_host.cpp
+++ b/packages/process/src/roles/process_host.cpp
@@ -161,7 +161,7 @@
     if (!Error)
       beginStop("signal");
   });
-  Control_.run();
+  runHandlers(Control_, logHandlerError);
   Threads_->stop();
   return ExitCode_;
 }
--- a/packages/process/src/roles/role_threads.cpp
+++ b/packages/process/src/roles/role_threads.cpp
@@ -1,5 +1,6 @@
 #include "role_threads.h"
 
+#include "wigeonwall/process/observation/log.h"
 #include "wigeonwall/process/roles/agent_role.h"
 #include "wigeonwall/process/roles/entry_role.h"
 #include "wigeonwall/process/runtime/event_loop.h"
@@ -43,7 +44,7 @@
 
 private:
   RoleDependencies Dependencies_;
-  EventLoop Loop_;
+  EventLoop Loop_{logHandlerError};
   AgentRole Role_;
 };
 
@@ -52,7 +53,7 @@
   EntryThreads(const Settings &Options, RoleDependencies Dependencies)
       : Dependencies_(std::move(Dependencies)) {
     for (std::uint32_t I = 0; I < Options.Entry_.TrafficThreads_; ++I) {
-      Loops_.push_back(std::make_unique<EventLoop>());
+      Loops_.push_back(std::make_unique<EventLoop>(logHandlerError));
       Shards_.push_back(std::make_unique<EntryRole>(
           Loops_.back()->context(), Options, I, Dependencies_.Incarnation_,
           Dependencies_.Views_, Dependencies_.Counters_,
--- a/packages/process/src/runtime/event_loop.cpp
+++ b/packages/process/src/runtime/event_loop.cpp
@@ -6,10 +6,23 @@
 
 namespace asio = connection::asio;
 
+void runHandlers(asio::io_context &Context, const HandlerErrorHook &OnError) {
+  for (;;) {
+    try {
+      Context.run();
+      return;
+    } catch (const std::exception &Error) {
+      if (!OnError)
+        throw;
+      OnError(Error.what());
+    }
+  }
+}
+
 void EventLoop::start() {
   Thread_ = std::thread([this] {
     const auto Guard = asio::make_work_guard(Context_);
-    Context_.run();
+    runHandlers(Context_, OnError_);
   });
 }
 
@@ -64,9 +77,14 @@
 
 void tickEvery(const Schedule &After, request::Duration Period,
                std::function<void()> Tick) {
-  After(Period, [After, Period, Tick = std::move(Tick)]() mutable {
-    Tick();
-    tickEvery(After, Period, std::move(Tick));
+  After(Period, [After, Period, Tick = std::move(Tick)]() {
+    try {
+      Tick();
+    } catch (...) {
+      tickEvery(After, Period, Tick);
+      throw;
+    }
+    tickEvery(After, Period, Tick);
   });
 }
 
--- a/tests/unit/dispatch_links_test.cpp
+++ b/tests/unit/dispatch_links_test.cpp
@@ -48,6 +48,8 @@
     OwnerLinksHooks Hooks;
     Hooks.Now_ = process::steadyClock();
     Hooks.OnOrder_ = [this](const auto &Owner, const auto &Order) {
+      if (Order.Job_ == "throw")
+        throw std::out_of_range("unexpected");
       Owner_ = Owner;
       Orders_.push_back(Order.Job_);
       if (EndsTasks_)
@@ -206,6 +208,16 @@
   BOOST_TEST((Orders_ == std::vector<std::string>{"b"}));
 }
 
+// An exception while a message was handled ended the whole process.
+BOOST_AUTO_TEST_CASE(an_exception_ends_only_the_connection) {
+  run(100ms);
+  order("throw");
+  run(300ms);
+  order("a");
+  run(100ms);
+  BOOST_TEST((Orders_ == std::vector<std::string>{"a"}));
+}
+
 BOOST_AUTO_TEST_CASE(an_order_with_a_clock_ahead_of_the_agent_is_declined) {
   Entry_.reset();
   const auto Peer = standins::RawPeer::open(Context_, Port);
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -51,6 +51,8 @@
                 [this](HttpRequest Request, HttpRespond Respond) {
                   if (Request.Target_ == "/hold")
                     return Held_.push_back(std::move(Respond));
+                  if (Request.Target_ == "/throw")
+                    throw std::out_of_range("unexpected");
                   HttpResponse Response;
                   Response.Body_ = Request.Target_ == "/big"
                                        ? std::string(64 << 20, 'x')
@@ -161,6 +163,17 @@
   BOOST_TEST(until([&] { return OtherPeer->count("released") == 1; }));
 }
 
+// The exception of a handler ended the process, and the caller got no answer.
+BOOST_FIXTURE_TEST_CASE(an_exception_of_the_handler_is_answered_with_500,
+                        Fixture) {
+  const auto Peer = open();
+  Peer->send(get("/throw"));
+  BOOST_CHECK_THROW(until([&] { return Peer->closed(); }), std::out_of_range);
+  BOOST_TEST(until([&] { return Peer->closed(); }));
+  BOOST_TEST(Peer->count("HTTP/1.1 500") == 1u);
+  BOOST_TEST(serves());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_slow_request_is_closed_while_others_are_served,
                         Fixture) {
   const std::string Text = post(std::string(200, 'a'));
--- a/tests/unit/store_followers_test.cpp
+++ b/tests/unit/store_followers_test.cpp
@@ -132,6 +132,8 @@
     Hooks.After_ = schedule();
     Hooks.OnValuesChanged_ = [this](const auto &Values) {
       Seen_.push_back(Values);
+      if (Values.count("p/throw") != 0)
+        throw std::out_of_range("unexpected");
     };
     Hooks.OnStoreStateChanged_ = [this](const auto &Cause) {
       StoreStates_.push_back(Cause);
@@ -175,6 +177,17 @@
   BOOST_TEST(Seen_.back().count("p/a") == 0u);
 }
 
+// A follower whose hook threw an exception never watched its keys again.
+BOOST_AUTO_TEST_CASE(an_exception_does_not_end_the_watch) {
+  const auto Follower = follow();
+  Store_.put("p/throw", "1");
+  BOOST_CHECK_THROW(Time_.advance(3s), std::out_of_range);
+  Store_.remove("p/throw");
+  Store_.put("p/a", "1");
+  Time_.advance(3s);
+  BOOST_TEST(Seen_.back().count("p/a") == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(reports_unreadable_items_and_follows_the_others) {
   Store_.put("p/a", "1");
   Store_.UnreadableItems_ = 1;
