Raise the fencing token for each new minion process

Cause: the new process knows of no stop and has seen no token, and the agent kept its own.

Change: the token rises when an unknown process reports, so that the first poll of that process carries a higher one than all calls before. A process that refuses the token raises only the one that it is polled with. The oldest unknown process gives way when there are too many, so that foreign reports cannot exclude the minion.

--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -10,6 +10,7 @@
 #include "wigeonwall/request/run_tracker.h"
 #include "wigeonwall/request/wait_forecast.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -113,6 +114,26 @@
   std::size_t MaxCandidates_ = 4;
 };
 
+namespace detail {
+
+/// \brief A fencing token, which is raised when a minion refuses it.
+struct FencingToken {
+  /// One year in ms; a larger step could overflow the token.
+  static constexpr std::int64_t MaxStep = 365LL * 24 * 3'600 * 1'000;
+
+  /// Starts as a time in ms.
+  std::int64_t Value_ = 0;
+  /// Doubled at each refusal.
+  std::int64_t Step_ = 1'000;
+
+  void raise() {
+    Value_ += Step_;
+    Step_ = std::min(2 * Step_, MaxStep);
+  }
+};
+
+} // namespace detail
+
 /// \brief Schedules all runs on one minion.
 ///
 /// All entries order runs through the minion's agent; nothing else calls the
@@ -181,10 +202,12 @@
     request::TimePoint ReportedAt_;
     request::TimePoint CheckedAt_;
     bool CheckPending_ = false;
+    detail::FencingToken Token_;
   };
 
   void applyReport(const request::MinionReport &Report);
   void addCandidate(const request::MinionReport &Report);
+  void removeOldestCandidate();
   /// Polls a candidate to verify that it runs at its address.
   void checkCandidate(Candidate &Entry);
   void onCandidateReply(const request::MinionIncarnation &Incarnation,
@@ -233,9 +256,7 @@
 
   RunAgentOptions Options_;
   RunAgentHooks Hooks_;
-  std::int64_t FencingToken_;
-  /// Doubled at each rejection. Tokens are times in ms.
-  std::int64_t TokenStep_ = 1'000;
+  detail::FencingToken FencingToken_;
   request::RunTracker Tracker_;
   request::RunQueue Queue_;
   request::HealthTracker Health_;
--- a/packages/process/src/dispatch/config_relay.cpp
+++ b/packages/process/src/dispatch/config_relay.cpp
@@ -84,11 +84,11 @@
                [this, Peer, Alive = Alive_](const HttpResult &Result) {
                  if (!*Alive)
                    return;
-                 onReply(Peer, Result);
                  Hooks_.After_(PollPeriod, [this, Alive] {
                    if (*Alive)
                      pollNextPeer();
                  });
+                 onReply(Peer, Result);
                });
 }
 
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// One year in ms; a larger step could overflow the token.
-constexpr std::int64_t MaxTokenStep = 365LL * 24 * 3'600 * 1'000;
-
 std::string taskName(const std::string &Job, std::uint32_t Index) {
   return Job + "/" + std::to_string(Index);
 }
@@ -25,7 +22,7 @@
 
 RunAgent::RunAgent(RunAgentOptions Options, RunAgentHooks Hooks,
                    std::int64_t FencingToken)
-    : Options_(Options), Hooks_(std::move(Hooks)), FencingToken_(FencingToken),
+    : Options_(Options), Hooks_(std::move(Hooks)), FencingToken_{FencingToken},
       Tracker_(Options.Tracker_), Health_(Hooks_.Now_) {}
 
 std::string RunAgent::rejectionCause(const std::string &Service) const {
@@ -72,10 +69,15 @@
   if (Known != Candidates_.end() &&
       Known->second.Report_.Sequence_ >= Report.Sequence_)
     return;
-  if (Known == Candidates_.end() &&
-      Candidates_.size() >= Options_.MaxCandidates_)
-    return Hooks_.Log_(Report.Incarnation_.Id_, "report_ignored",
-                       "cause=too_many_candidates");
+  if (Known == Candidates_.end()) {
+    if (Candidates_.size() >= Options_.MaxCandidates_)
+      removeOldestCandidate();
+    // A start that is still on its way to an earlier process must not take
+    // effect in one with the same id. All calls from now on have a higher
+    // token.
+    ++FencingToken_.Value_;
+    Candidates_[Report.Incarnation_].Token_ = FencingToken_;
+  }
   Candidate &Entry = Candidates_[Report.Incarnation_];
   Entry.Report_ = Report;
   Entry.ReportedAt_ = Hooks_.Now_();
@@ -89,7 +91,7 @@
   const TimePoint Now = Hooks_.Now_();
   Entry.CheckedAt_ = Now;
   HoldCall Call;
-  Call.FencingToken_ = FencingToken_;
+  Call.FencingToken_ = Entry.Token_.Value_;
   Hooks_.Minion_.Hold_(
       Entry.Report_, Call,
       [this, Now, Incarnation = Entry.Report_.Incarnation_](HoldReply Reply) {
@@ -106,7 +108,7 @@
   Entry.CheckPending_ = false;
   // checkCandidates() repeats the poll with the higher token.
   if (Reply.Fenced_)
-    return increaseFencingToken();
+    return Entry.Token_.raise();
   if (!Reply.Listing_)
     return Hooks_.Log_(Incarnation.Id_, "minion_unconfirmed",
                        "detail=\"" + Reply.Detail_ + "\"");
@@ -114,10 +116,21 @@
     return Hooks_.Log_(Incarnation.Id_, "minion_unconfirmed",
                        "detail=\"another minion is in use\"");
   const request::MinionReport Report = Entry.Report_;
+  if (Entry.Token_.Value_ > FencingToken_.Value_)
+    FencingToken_ = Entry.Token_;
   Candidates_.clear();
   adopt(Report, *Reply.Listing_, SentAt);
 }
 
+void RunAgent::removeOldestCandidate() {
+  const auto Oldest = std::min_element(
+      Candidates_.begin(), Candidates_.end(), [](const auto &A, const auto &B) {
+        return A.second.ReportedAt_ < B.second.ReportedAt_;
+      });
+  Hooks_.Log_(Oldest->first.Id_, "candidate_expired", "cause=too_many");
+  Candidates_.erase(Oldest);
+}
+
 bool RunAgent::mayReplacePresent(const Candidate &Entry) const {
   const auto &Present = Tracker_.minion();
   // Two processes cannot answer at one address. A process at another address
@@ -323,7 +336,7 @@
   Call.Key_ = Key;
   Call.Payload_ = Waiting.Payload_;
   Call.LeaseEndMs_ = Tracker_.grantLease(Now);
-  Call.FencingToken_ = FencingToken_;
+  Call.FencingToken_ = FencingToken_.Value_;
   const Duration Slack = Waiting.LatestOnTimeStart_ - Now;
   Hooks_.Log_(
       Key.Task_, "start",
@@ -359,10 +372,9 @@
 }
 
 void RunAgent::increaseFencingToken() {
-  FencingToken_ += TokenStep_;
-  TokenStep_ = std::min(2 * TokenStep_, MaxTokenStep);
+  FencingToken_.raise();
   Hooks_.Log_("minion", "fenced",
-              "next_token=" + std::to_string(FencingToken_));
+              "next_token=" + std::to_string(FencingToken_.Value_));
 }
 
 void RunAgent::sendStops() {
@@ -378,7 +390,7 @@
                          ? "unanswered_start"
                          : Known->second.StopReason_));
     Hooks_.Minion_.Stop_(
-        *Tracker_.minion(), Key, FencingToken_,
+        *Tracker_.minion(), Key, FencingToken_.Value_,
         [this, Key, Generation = MinionGeneration_](bool Acknowledged) {
           if (Generation != MinionGeneration_ || !Acknowledged)
             return;
@@ -403,7 +415,7 @@
   HoldCall Call;
   if (mayRenewLeases(Now))
     Call.LeaseEndMs_ = Tracker_.grantLease(Now);
-  Call.FencingToken_ = FencingToken_;
+  Call.FencingToken_ = FencingToken_.Value_;
   Call.Observed_ = Tracker_.lastObservedEnd();
   // A long poll waits for a run to end, so it needs at least one run.
   const bool LongPoll =
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -328,6 +328,25 @@
   BOOST_TEST(count(RunEnd::Done) == 10u);
 }
 
+// A start that had been given up took effect in the next process of the minion,
+// which has the same id, while the task ran elsewhere.
+BOOST_AUTO_TEST_CASE(a_late_start_has_no_effect_after_a_restart) {
+  // The clock of the next process starts anew, so the old deadline is far ahead.
+  advance(10s);
+  Minion_.StartFaults_ = {CallFault::AppliedLate};
+  Minion_.LateCallsOutlastRestart_ = true;
+  order("a", 1);
+  advance(400ms);
+  BOOST_TEST(count(RunEnd::NeverRan) == 1u);
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(4s);
+  BOOST_TEST(Minion_.Starts_.count("a/0") == 0u);
+  order("b", 1);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(ignores_a_report_from_before_a_restart) {
   const request::MinionReport Old = Minion_.report();
   Minion_.restart();
@@ -365,6 +384,44 @@
   BOOST_TEST(Minion_.Breaches_.empty());
 }
 
+// The report of the minion itself is checked at once, however many others there
+// are.
+BOOST_AUTO_TEST_CASE(many_foreign_reports_do_not_exclude_the_minion) {
+  Minion_.restart();
+  for (int I = 0; I < 100; ++I) {
+    request::MinionReport Foreign = Minion_.report();
+    Foreign.Incarnation_ = {"foreign-" + std::to_string(I), 5'000};
+    Agent_->onMinionReport(Foreign);
+    if (I == 50)
+      Agent_->onMinionReport(Minion_.report());
+    if (I % 10 == 9)
+      advance(25ms);
+  }
+  order("a", 1);
+  advance(200ms);
+  BOOST_TEST(count(RunEnd::Done) == 1u);
+}
+
+// A late report of an earlier process with the same id is checked at the
+// address of the present one, which must not refuse the agent's calls because
+// of it.
+BOOST_AUTO_TEST_CASE(a_late_report_does_not_disturb_the_present_minion) {
+  const request::MinionReport Old = Minion_.report();
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  Minion_.RunTime_ = Expected_ = 500ms;
+  order("a", 10);
+  advance(100ms);
+  Agent_->onMinionReport(Old);
+  advance(25ms);
+  Agent_->onCancel("entry-1", "a");
+  order("b", 10);
+  advance(1s);
+  BOOST_TEST(count(RunEnd::Stopped) == 10u);
+  BOOST_TEST(count(RunEnd::Done) == 10u);
+}
+
 // The first report that an agent received decided which minion it used.
 BOOST_AUTO_TEST_CASE(a_foreign_first_report_does_not_exclude_the_minion) {
   request::MinionReport Foreign = Minion_.report();
