End leases before the caller of a lost entry resubmits its job

Cause: an agent renewed the runs of a silent entry for a whole lease until it ended them after 0.7 s. Only the agent itself would have ended them earlier.

Change: no lease reaches further than the resend time, less the drift of a minion's clock and the time to end a run, after the last contact with the owner of any run on the minion. Runs that were given up keep their limit, so that renewals for others do not extend them while their stops are lost.

--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -90,6 +90,10 @@
   request::RunTrackerOptions Tracker_;
   /// Nothing is started for an owner that has been silent for longer.
   request::Duration OwnerTimeout_ = std::chrono::milliseconds(700);
+  /// Latest end of a lease after the last contact with the owner of any run.
+  request::Duration MaxLeaseAfterContact_ = std::chrono::milliseconds(1'215);
+  /// Minimum lease of a start; long enough for several polls that renew it.
+  request::Duration MinStartLease_ = std::chrono::milliseconds(200);
   /// Maximum wait of a hold call: a third of a lease, so that one lost reply
   /// does not let the leases expire.
   std::chrono::milliseconds HoldWait_{300};
@@ -190,6 +194,10 @@
     request::TimePoint ProgressAt_;
     /// Why the agent is stopping the run; empty otherwise.
     std::string StopReason_;
+    /// Last contact with the owner before it gave up the run.
+    request::TimePoint OwnerContactAt_;
+    /// The owner no longer waits for the run to end.
+    bool GivenUp_ = false;
 
     [[nodiscard]] request::RunProgress progress() const {
       return {ProgressAt_ - StartedAt_, Percent_, Expected_};
@@ -225,8 +233,8 @@
   /// Returns true if the owner, as of \p Now, still counts on the agent.
   [[nodiscard]] bool holdsSession(const std::string &Owner,
                                   request::TimePoint Now) const;
-  /// Returns false if the owner's session has ended; the run then waits until
-  /// it is removed with the session.
+  /// Returns false if the owner's session has ended, or no lease can be granted
+  /// until a run that was given up has ended. The run then stays in the queue.
   bool startNext(request::WaitingRun Waiting);
   void onStartReply(const request::RunKey &Key, request::StartReply Reply,
                     const std::string &Detail);
@@ -234,8 +242,12 @@
   /// ahead.
   void increaseFencingToken();
   void sendStops();
-  /// Returns true if a poll may renew the leases.
-  [[nodiscard]] bool mayRenewLeases(request::TimePoint Now) const;
+  /// Returns when all leases have to end, because a lease applies to all runs
+  /// on the minion.
+  [[nodiscard]] request::TimePoint leaseLimit();
+  /// Returns true if a poll may renew the leases until \p Limit.
+  [[nodiscard]] bool mayRenewLeases(request::TimePoint Now,
+                                    request::TimePoint Limit) const;
   void pollMinion(bool Immediate);
   void onHoldReply(HoldReply Reply, request::TimePoint SentAt, bool Immediate);
   void onMissedPoll(const std::string &Detail);
@@ -251,6 +263,9 @@
   void declineAll(std::vector<request::WaitingRun> Waiting,
                   const std::string &Reason);
   void stop(const request::RunKey &Key, Run &Active, const std::string &Reason);
+  /// Stops a run that its owner no longer waits for.
+  void giveUp(const request::RunKey &Key, Run &Active,
+              const std::string &Reason);
   [[nodiscard]] bool accepting();
   [[nodiscard]] std::string rejectionCause(const std::string &Service) const;
 
--- a/packages/process/src/dispatch/link_timing.cpp
+++ b/packages/process/src/dispatch/link_timing.cpp
@@ -18,6 +18,8 @@
 /// Leases are measured by the minion's clock, which may run 2% slow.
 constexpr int SlowClockPercent = 2;
 constexpr Duration LeaseMargin = std::chrono::milliseconds(130);
+/// Time that a minion takes to end a run whose lease has expired.
+constexpr Duration LapseMargin = std::chrono::milliseconds(60);
 
 } // namespace
 
@@ -30,6 +32,9 @@
   Result.AgentTimeout_ = Result.OwnerTimeout_ + TimeoutDifference;
   Result.HeartbeatPeriod_ = std::min(
       Result.HeartbeatPeriod_, Result.OwnerTimeout_ / HeartbeatsPerTimeout);
+  Result.MaxLeaseAfterContact_ =
+      std::max((CallerResend - LapseMargin) * 100 / (100 + SlowClockPercent),
+               Result.OwnerTimeout_);
   Result.RunsEndWithin_ = Result.OwnerTimeout_ + MaxLease +
                           MaxLease * SlowClockPercent / 100 + LeaseMargin;
   return Result;
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -260,11 +260,17 @@
   Tracker_.requestStop(Key);
 }
 
+void RunAgent::giveUp(const RunKey &Key, Run &Active,
+                      const std::string &Reason) {
+  Active.GivenUp_ = true;
+  stop(Key, Active, Reason);
+}
+
 void RunAgent::onCancel(const std::string &Owner, const std::string &Job) {
   declineAll(Queue_.takeOwned(Owner, Job), "cancelled");
   for (auto &[Key, Active] : Runs_)
     if (Active.Owner_ == Owner && Active.Job_ == Job)
-      stop(Key, Active, "cancelled");
+      giveUp(Key, Active, "cancelled");
   advance();
 }
 
@@ -274,7 +280,7 @@
   for (auto &[Key, Active] : Runs_) {
     if (Active.Owner_ != Owner)
       continue;
-    stop(Key, Active, "owner_gone");
+    giveUp(Key, Active, "owner_gone");
     ++Stopped;
   }
   Hooks_.Log_(Owner, "owner_gone",
@@ -316,7 +322,12 @@
   // the session is checked and bounds the lease, so that the minion refuses a
   // start that is sent after a pause.
   const TimePoint Now = Hooks_.Now_();
-  if (!holdsSession(Waiting.Owner_, Now)) {
+  const TimePoint Contact =
+      Hooks_.LastContact_(Waiting.Owner_).value_or(TimePoint::min());
+  const TimePoint Limit =
+      std::min(leaseLimit(), Contact + Options_.MaxLeaseAfterContact_);
+  if (Contact < Now - Options_.OwnerTimeout_ ||
+      Limit < Now + Options_.MinStartLease_) {
     Queue_.add(std::move(Waiting));
     return false;
   }
@@ -329,13 +340,14 @@
   Started.Needs_ = Waiting.Needs_;
   Started.Expected_ = Waiting.Expected_;
   Started.StartedAt_ = Started.ProgressAt_ = Now;
+  Started.OwnerContactAt_ = Contact;
   Started.ExpiresAt_ = Waiting.LatestUsefulStart_ + Waiting.Expected_;
   Started.Health_ = Health_.begin();
   Runs_[Key] = Started;
   StartCall Call;
   Call.Key_ = Key;
   Call.Payload_ = Waiting.Payload_;
-  Call.LeaseEndMs_ = Tracker_.grantLease(Now);
+  Call.LeaseEndMs_ = Tracker_.grantLease(Now, Limit);
   Call.FencingToken_ = FencingToken_.Value_;
   const Duration Slack = Waiting.LatestOnTimeStart_ - Now;
   Hooks_.Log_(
@@ -413,8 +425,9 @@
   const TimePoint Now = Hooks_.Now_();
   LastPollAt_ = Now;
   HoldCall Call;
-  if (mayRenewLeases(Now))
-    Call.LeaseEndMs_ = Tracker_.grantLease(Now);
+  const TimePoint Limit = leaseLimit();
+  if (mayRenewLeases(Now, Limit))
+    Call.LeaseEndMs_ = Tracker_.grantLease(Now, Limit);
   Call.FencingToken_ = FencingToken_.Value_;
   Call.Observed_ = Tracker_.lastObservedEnd();
   // A long poll waits for a run to end, so it needs at least one run.
@@ -429,10 +442,22 @@
       });
 }
 
-bool RunAgent::mayRenewLeases(TimePoint Now) const {
+TimePoint RunAgent::leaseLimit() {
+  TimePoint Limit = TimePoint::max();
+  for (auto &[Key, Active] : Runs_) {
+    if (!Active.GivenUp_)
+      Active.OwnerContactAt_ =
+          Hooks_.LastContact_(Active.Owner_).value_or(Active.OwnerContactAt_);
+    Limit = std::min(Limit,
+                     Active.OwnerContactAt_ + Options_.MaxLeaseAfterContact_);
+  }
+  return Limit;
+}
+
+bool RunAgent::mayRenewLeases(TimePoint Now, TimePoint Limit) const {
   // An unresponsive minion may still process renewals, and then the agent could
   // not tell when the leases have expired.
-  if (MissedPolls_ >= Options_.MaxMissedPolls_)
+  if (MissedPolls_ >= Options_.MaxMissedPolls_ || Limit <= Now)
     return false;
   // A renewal extends all leases, also those of runs that are being stopped.
   return std::any_of(Runs_.begin(), Runs_.end(), [&](const auto &Each) {
@@ -505,7 +530,7 @@
         Options_.MinStallTime_, std::chrono::duration_cast<Duration>(
                                     Active.Expected_ * Options_.StallFactor_));
     if (Now > Active.ExpiresAt_)
-      stop(Key, Active, "caller_timeout");
+      giveUp(Key, Active, "caller_timeout");
     else if (Speed_.isTooSlow(Active.progress(), Options_.TooSlowFactor_))
       stop(Key, Active, "too_slow");
     else if (Active.Percent_ < 100 && Now - Active.ProgressAt_ > StallLimit)
--- a/packages/request/include/wigeonwall/request/run_tracker.h
+++ b/packages/request/include/wigeonwall/request/run_tracker.h
@@ -99,8 +99,10 @@
   /// \brief Ends all runs as lapsed once all leases have certainly expired.
   std::vector<EndedRun> expire(TimePoint Now);
 
-  /// \brief Grants a lease and returns its end on the minion's clock in ms.
-  [[nodiscard]] std::int64_t grantLease(TimePoint Now);
+  /// \brief Grants a lease that ends at \p Limit at the latest; returns its end
+  /// on the minion's clock in ms. \p Limit must be after \p Now.
+  [[nodiscard]] std::int64_t grantLease(TimePoint Now,
+                                        TimePoint Limit = TimePoint::max());
   /// \brief Lower bound of the minion's clock in ms.
   [[nodiscard]] std::int64_t minionClock(TimePoint Now) const;
   /// \brief Applies a reading of the minion's clock.
--- a/packages/request/src/run_tracker.cpp
+++ b/packages/request/src/run_tracker.cpp
@@ -253,15 +253,13 @@
   return Ended;
 }
 
-std::int64_t RunTracker::grantLease(TimePoint Now) {
-  const auto LeaseEnd = Now + LeaseMargin +
-                        std::chrono::duration_cast<Duration>(
-                            Options_.MaxLease_ * Options_.ClockDriftFactor_);
+std::int64_t RunTracker::grantLease(TimePoint Now, TimePoint Limit) {
+  const Duration Lease = std::min(Options_.MaxLease_, Limit - Now);
+  const auto LeaseEnd =
+      Now + LeaseMargin +
+      std::chrono::duration_cast<Duration>(Lease * Options_.ClockDriftFactor_);
   LastLeaseEnd_ = std::max(LastLeaseEnd_, LeaseEnd);
-  return minionClock(Now) +
-         std::chrono::duration_cast<std::chrono::milliseconds>(
-             Options_.MaxLease_)
-             .count();
+  return minionClock(Now) + toMilliseconds(Lease);
 }
 
 std::int64_t RunTracker::minionClock(TimePoint Now) const {
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -266,6 +266,59 @@
   BOOST_TEST(Minion_.Starts_.size() == 20u);
 }
 
+// An entry ended, and its agent before it had stopped the entry's runs. They
+// outlasted the caller's resubmission after 1.3 s.
+BOOST_AUTO_TEST_CASE(leases_end_before_the_resubmission_to_another_entry) {
+  Minion_.RunTime_ = Expected_ = 10s;
+  order("a", 10);
+  advance(100ms);
+  const request::TimePoint Contact = Loop_.now();
+  LastContact_ = [Contact](const auto &) { return Contact; };
+  advance(450ms);
+  *Alive_ = false;
+  Minion_.ClockPercent_ = 98;
+  std::size_t Running = 10;
+  while (Running > 0 && Loop_.now() - Contact < 3s) {
+    Loop_.advance(5ms);
+    Minion_.update();
+    Running = Minion_.running();
+  }
+  BOOST_TEST((Loop_.now() - Contact < 1'300ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_long_after_the_last_contact_has_a_short_lease) {
+  Minion_.RunTime_ = Expected_ = 10s;
+  const request::TimePoint Contact = Loop_.now();
+  LastContact_ = [Contact](const auto &) { return Contact; };
+  Loop_.advance(600ms);
+  order("a", 1);
+  *Alive_ = false;
+  Loop_.advance(1'300ms - (Loop_.now() - Contact));
+  Minion_.update();
+  BOOST_TEST(Minion_.Starts_.size() == 1u);
+  BOOST_TEST(Minion_.running() == 0u);
+}
+
+// A renewal for the runs of one entry extended those of another one that had
+// given up its runs, as long as their stops were lost.
+BOOST_AUTO_TEST_CASE(a_run_that_was_given_up_is_not_renewed_with_others) {
+  Minion_.RunTime_ = Expected_ = 10s;
+  order("a", 2, "entry-1");
+  order("b", 2, "entry-2");
+  advance(100ms);
+  Minion_.StopFaults_.assign(1'000, CallFault::AppliedLate);
+  Agent_->onCancel("entry-1", "a");
+  const request::TimePoint GivenUpAt = Loop_.now();
+  while (Minion_.running() > 0 && Loop_.now() - GivenUpAt < 3s)
+    advance(25ms);
+  BOOST_TEST((Loop_.now() - GivenUpAt < 1'300ms));
+  Minion_.StopFaults_.clear();
+  advance(500ms);
+  order("c", 10, "entry-2");
+  advance(100ms);
+  BOOST_TEST(Minion_.running() == 10u);
+}
+
 // Polls renewed the leases of runs whose owner had given them up, as long as
 // their stops were lost.
 BOOST_AUTO_TEST_CASE(leases_are_not_renewed_without_an_owner) {
