Start nothing on a minion without the required label

Cause: neither the order nor the queue knew the label, and the queue outlasted the minion.

Change: an order has the label, the agent declines it if the minion lacks it, and the queue is returned to the entries when the minion is replaced.

With the queue kept and the label not checked, queued_tasks_do_not_move_to_the_ next_minion fails.

--- a/packages/process/include/wigeonwall/process/dispatch/messages.h
+++ b/packages/process/include/wigeonwall/process/dispatch/messages.h
@@ -27,6 +27,8 @@
 struct RunOrder {
   std::string Job_;
   std::string Service_;
+  /// Label that the minion must have; empty if none.
+  std::string RequiredLabel_;
   std::string Payload_;
   request::Resources Needs_;
   /// Expected run time on a minion of nominal speed in the same location.
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -267,7 +267,9 @@
   void giveUp(const request::RunKey &Key, Run &Active,
               const std::string &Reason);
   [[nodiscard]] bool accepting();
-  [[nodiscard]] std::string rejectionCause(const std::string &Service) const;
+  /// Returns true if the minion has the service and the label of an order.
+  [[nodiscard]] bool fitsMinion(const RunOrder &Order) const;
+  [[nodiscard]] std::string rejectionCause(const RunOrder &Order) const;
 
   RunAgentOptions Options_;
   RunAgentHooks Hooks_;
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -266,6 +266,7 @@
   for (auto &[Agent, Order] : Orders) {
     Order.Job_ = Job.Spec_.Id_;
     Order.Service_ = Job.Policy_.Service_;
+    Order.RequiredLabel_ = Job.Spec_.RequiredLabel_;
     Order.Payload_ = Job.Spec_.Payload_;
     Order.Needs_ = Job.Spec_.Needs_;
     Order.TimeToDeadline_ = Job.Deadline_ - Now;
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -105,7 +105,7 @@
   Tasks.reserve(2 * Order.Tasks_.size());
   for (const RunOrderTask &Task : Order.Tasks_)
     Tasks.insert(Tasks.end(), {std::int64_t{Task.Index_}, Task.Number_});
-  return pack(Order.Job_, Order.Service_, Order.Payload_,
+  return pack(Order.Job_, Order.Service_, Order.RequiredLabel_, Order.Payload_,
               Order.Needs_.CpuMillicores_, Order.Needs_.MemoryMb_,
               Order.Needs_.Gpus_, microseconds(Order.Expected_),
               microseconds(Order.TimeToDeadline_),
@@ -122,11 +122,12 @@
     Us TimeToExpiry = 0;
     Us MaxWait = 0;
     std::vector<std::int64_t> Tasks;
-    std::tie(Result.Job_, Result.Service_, Result.Payload_,
-             Result.Needs_.CpuMillicores_, Result.Needs_.MemoryMb_,
-             Result.Needs_.Gpus_, Expected, TimeToDeadline, TimeToExpiry,
-             MaxWait, Result.MayDecline_, Result.AgentClockMs_, Tasks) =
-        unpack<std::string, std::string, std::string, std::int64_t,
+    std::tie(Result.Job_, Result.Service_, Result.RequiredLabel_,
+             Result.Payload_, Result.Needs_.CpuMillicores_,
+             Result.Needs_.MemoryMb_, Result.Needs_.Gpus_, Expected,
+             TimeToDeadline, TimeToExpiry, MaxWait, Result.MayDecline_,
+             Result.AgentClockMs_, Tasks) =
+        unpack<std::string, std::string, std::string, std::string, std::int64_t,
                std::int64_t, std::int64_t, Us, Us, Us, Us, bool, std::int64_t,
                std::vector<std::int64_t>>(Bytes);
     Result.Expected_ = fromMicroseconds(Expected);
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -25,11 +25,21 @@
     : Options_(Options), Hooks_(std::move(Hooks)), FencingToken_{FencingToken},
       Tracker_(Options.Tracker_), Health_(Hooks_.Now_) {}
 
-std::string RunAgent::rejectionCause(const std::string &Service) const {
+bool RunAgent::fitsMinion(const RunOrder &Order) const {
+  const auto &Minion = Tracker_.minion();
+  if (!Minion || Minion->Service_ != Order.Service_)
+    return false;
+  const auto &Labels = Minion->Labels_;
+  return Order.RequiredLabel_.empty() ||
+         std::find(Labels.begin(), Labels.end(), Order.RequiredLabel_) !=
+             Labels.end();
+}
+
+std::string RunAgent::rejectionCause(const RunOrder &Order) const {
   if (!Tracker_.minion())
     return "no_minion";
-  if (Tracker_.minion()->Service_ != Service)
-    return "other_service";
+  if (!fitsMinion(Order))
+    return "other_service_or_label";
   if (Tracker_.draining())
     return "draining";
   if (Leaving_)
@@ -152,6 +162,8 @@
               "born_ms=" + std::to_string(Report.Incarnation_.StartedAtMs_) +
                   " address=" + Report.Address_ +
                   " cpu=" + std::to_string(Report.Capacity_.CpuMillicores_));
+  // They were placed by the labels and the capacity of the earlier minion.
+  declineAll(Queue_.takeAll(), "minion_replaced");
   applyReport(Report);
   ListedClockMs_ = 0;
   applyListing(Listing, SentAt);
@@ -206,8 +218,7 @@
 
 void RunAgent::onOrder(const std::string &Owner, const RunOrder &Order) {
   const TimePoint Now = Hooks_.Now_();
-  const auto &Minion = Tracker_.minion();
-  const bool ServiceMatches = Minion && Minion->Service_ == Order.Service_;
+  const bool MinionFits = fitsMinion(Order);
   AverageCpu_ = AverageCpu_ == 0
                     ? Order.Needs_.CpuMillicores_
                     : (3 * AverageCpu_ + Order.Needs_.CpuMillicores_) / 4;
@@ -226,8 +237,8 @@
     Waiting.LatestOnTimeStart_ = Now + Order.TimeToDeadline_ - RunTime;
     Waiting.MayMove_ = Order.MayDecline_;
     Waiting.LatestUsefulStart_ = Now + Order.TimeToExpiry_ - RunTime;
-    if (!ServiceMatches || !accepting())
-      decline(Waiting, rejectionCause(Order.Service_));
+    if (!MinionFits || !accepting())
+      decline(Waiting, rejectionCause(Order));
     else if (Order.MayDecline_ && expectedWait(Waiting) > Order.MaxWait_)
       decline(Waiting, "no_room");
     else
--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -45,6 +45,7 @@
   RunOrder Order;
   Order.Job_ = "0123456789abcdef";
   Order.Service_ = "permit-desk";
+  Order.RequiredLabel_ = "b";
   Order.Payload_ = "text \"with\" quotes\n";
   Order.Needs_ = {3'100, 64, 1};
   Order.Expected_ = 60ms;
@@ -57,6 +58,7 @@
   MessageFault Fault;
   const auto Read = decodeOrder(encodeOrder(Order), Fault);
   BOOST_REQUIRE(Read);
+  BOOST_TEST(Read->RequiredLabel_ == "b");
   BOOST_TEST(Read->Payload_ == Order.Payload_);
   BOOST_TEST((Read->Needs_ == Order.Needs_));
   BOOST_TEST((Read->TimeToDeadline_ == Order.TimeToDeadline_));
@@ -105,8 +107,8 @@
   const std::vector<std::int64_t> Tasks{0, 1};
   const auto Order = [&](const auto &Job, const auto &Cpu, const auto &Time,
                          const auto &Listed) {
-    return connection::pack(Job, "s", "p", Cpu, 0, 0, Time, 0, 0, 0, true, 0,
-                            Listed);
+    return connection::pack(Job, "s", "", "p", Cpu, 0, 0, Time, 0, 0, 0, true,
+                            0, Listed);
   };
   BOOST_TEST(decodeOrder(Order("j", 1, 1, Tasks), Fault).has_value());
   for (const std::string &Bytes :
@@ -117,7 +119,7 @@
         Order("j", 1, 1, std::vector<std::int64_t>{1LL << 32, 1}),
         Order("j", -1, 1, Tasks), Order("j", 1, 1LL << 62, Tasks),
         // An order of a build without the agent's clock.
-        connection::pack("j", "s", "p", 1, 0, 0, 1, 0, 0, 0, true, Tasks),
+        connection::pack("j", "s", "", "p", 1, 0, 0, 1, 0, 0, 0, true, Tasks),
         connection::pack("j", "s", "p")}) {
     Fault = {};
     BOOST_TEST(!decodeOrder(Bytes, Fault).has_value());
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -27,6 +27,7 @@
   std::function<std::optional<request::TimePoint>(const std::string &)>
       LastContact_ = [this](const auto &) { return Loop_.now(); };
   request::Duration Expected_ = 100ms;
+  std::string RequiredLabel_;
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
   std::unique_ptr<RunAgent> Agent_;
 
@@ -93,6 +94,7 @@
     RunOrder Order;
     Order.Job_ = Job;
     Order.Service_ = "permit-desk";
+    Order.RequiredLabel_ = RequiredLabel_;
     Order.Payload_ = "payload";
     Order.Needs_ = TaskNeeds;
     Order.Expected_ = Expected_;
@@ -400,6 +402,30 @@
   BOOST_TEST(count(RunEnd::Done) == 1u);
 }
 
+// Tasks that waited for a minion with a label were started on the next process
+// of the minion, which did not have the label.
+BOOST_AUTO_TEST_CASE(queued_tasks_do_not_move_to_the_next_minion) {
+  Minion_.Labels_ = {"b"};
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  RequiredLabel_ = "b";
+  Minion_.RunTime_ = Expected_ = 500ms;
+  order("a", 14);
+  advance(100ms);
+  BOOST_TEST(Agent_->queueLength() == 4u);
+  Minion_.Labels_ = {"c"};
+  Minion_.restart();
+  Agent_->onMinionReport(Minion_.report());
+  advance(50ms);
+  BOOST_TEST(count(RunEnd::Lost) == 10u);
+  BOOST_TEST(count(RunEnd::NeverRan) == 4u);
+  order("b", 1);
+  advance(1s);
+  BOOST_TEST(Minion_.Starts_.count("b/0") == 0u);
+  BOOST_TEST(count(RunEnd::NeverRan) == 5u);
+}
+
 BOOST_AUTO_TEST_CASE(ignores_a_report_from_before_a_restart) {
   const request::MinionReport Old = Minion_.report();
   Minion_.restart();
