Cancel jobs that another entry has accepted

Cause: an entry looked only into its own jobs.

Change: an entry that does not know the job asks all others. 410 is answered only if none can have it; if some did not answer, the caller gets 503.

The new case of platform_path_test was not run on the code before.

--- a/packages/process/include/wigeonwall/process/dispatch/config_relay.h
+++ b/packages/process/include/wigeonwall/process/dispatch/config_relay.h
@@ -21,6 +21,10 @@
   /// one.
   std::function<void(const std::string &Document)> OnDocument_;
   std::function<void(const std::string &Event, const std::string &Detail)> Log_;
+  /// Serves other requests of the entries; returns false for an unknown one.
+  std::function<bool(const connection::HttpRequest &Request,
+                     const connection::HttpRespond &Respond)>
+      ServeOther_;
 };
 
 /// \brief Serves this entry's document at `GET /config?after=VERSION` and,
--- a/packages/process/src/dispatch/config_relay.cpp
+++ b/packages/process/src/dispatch/config_relay.cpp
@@ -48,6 +48,8 @@
 
 void ConfigRelay::serve(const HttpRequest &Request,
                         const connection::HttpRespond &Respond) const {
+  if (Hooks_.ServeOther_(Request, Respond))
+    return;
   HttpResponse Response;
   const std::string Prefix(Target);
   std::int64_t After = 0;
--- a/tests/integration/platform_path_test.cpp
+++ b/tests/integration/platform_path_test.cpp
@@ -132,3 +132,36 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// A cancellation at another entry than the one with the job was answered as if
+// there were no such job, and the job ran on.
+BOOST_AUTO_TEST_CASE(a_job_is_cancelled_at_another_entry) {
+  PlatformClusterOptions Options;
+  Options.Entries_ = 2;
+  Options.Agents_ = 1;
+  PlatformCluster Cluster(Options);
+  Cluster.configure(1);
+  Cluster.startAgent(0);
+  Cluster.startEntry(0);
+  Cluster.startEntry(1);
+  BOOST_REQUIRE(Cluster.waitReady(5s));
+  Cluster.run([&] { Cluster.minion(0).RunTime_ = 250ms; });
+  std::future<connection::HttpResult> Answer;
+  std::size_t Running = 0;
+  for (int I = 1; I < 100 && Running == 0; ++I) {
+    CallerJob Job;
+    Job.Id_ = jobId(1, I);
+    auto Result = std::make_shared<std::promise<connection::HttpResult>>();
+    Answer = Result->get_future();
+    Cluster.submit(0, Job, [Result](auto Reply) { Result->set_value(Reply); });
+    std::this_thread::sleep_for(60ms);
+    Cluster.run([&] { Running = Cluster.minion(0).running(); });
+    if (Running > 0)
+      BOOST_TEST(Cluster.requestStatus(1, "DELETE", "/q/" + Job.Id_) == 200);
+  }
+  BOOST_REQUIRE(Running == 1u);
+  BOOST_TEST(PlatformCluster::statusOf(Answer.get()) == 504);
+  Cluster.run([&] { Running = Cluster.minion(0).running(); });
+  BOOST_TEST(Running == 0u);
+  BOOST_TEST(Cluster.requestStatus(1, "DELETE", "/q/" + jobId(2, 1)) == 410);
+}
--- a/tests/unit/config_relay_test.cpp
+++ b/tests/unit/config_relay_test.cpp
@@ -37,6 +37,7 @@
       Client_->setDocument(7, Document);
     };
     Hooks.Log_ = [](const auto &, const auto &) {};
+    Hooks.ServeOther_ = [](const auto &, const auto &) { return false; };
     auto Result =
         std::make_unique<ConfigRelay>(Context_, endpoint(Offset), Hooks);
     BOOST_REQUIRE(Result->listen());
--- /dev/null
+++ b/tests/unit/peer_cancellation_test.cpp
@@ -0,0 +1,116 @@
+/// \file
+/// \brief Tests that a job is cancelled through any entry, and that it is
+/// reported as unknown only if no entry can have it.
+#include "standins/raw_peer.h"
+#include "wigeonwall/connection/http_server.h"
+#include "wigeonwall/process/dispatch/peer_cancellation.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace wigeonwall;
+using namespace wigeonwall::process::dispatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An entry with some jobs.
+struct Entry {
+  explicit Entry(connection::asio::io_context &Context)
+      : Cancellation_(Context, hooks()),
+        Server_(Context, {"127.0.0.1", 0}, {},
+                [this](const auto &Request, const auto &Respond) {
+                  if (!Silent_)
+                    BOOST_TEST(Cancellation_.serve(Request, Respond));
+                }) {
+    BOOST_REQUIRE(Server_.listen());
+  }
+
+  PeerCancellationHooks hooks() {
+    PeerCancellationHooks Hooks;
+    Hooks.CancelLocally_ = [this](const std::string &JobId, const auto &Done) {
+      Done(Jobs_.erase(JobId) != 0);
+    };
+    Hooks.Log_ = [this](const auto &, const std::string &Event, const auto &) {
+      Events_.push_back(Event);
+    };
+    return Hooks;
+  }
+  connection::Endpoint endpoint() const {
+    return {"127.0.0.1", Server_.port()};
+  }
+
+  std::set<std::string> Jobs_;
+  std::vector<std::string> Events_;
+  bool Silent_ = false;
+  PeerCancellation Cancellation_;
+  connection::HttpServer Server_;
+};
+
+struct Fixture {
+  connection::asio::io_context Context_{1};
+  Entry First_{Context_};
+  Entry Second_{Context_};
+  std::optional<Entry> Third_{std::in_place, Context_};
+
+  Fixture() {
+    First_.Cancellation_.setPeers({Second_.endpoint(), Third_->endpoint()});
+    Third_->Jobs_ = {"job"};
+  }
+
+  PeerCancelResult cancel(const std::string &JobId) {
+    std::optional<PeerCancelResult> Result;
+    First_.Cancellation_.cancel(JobId, [&](auto Answer) {
+      BOOST_TEST(!Result.has_value());
+      Result = Answer;
+    });
+    BOOST_REQUIRE(standins::runUntil(
+        Context_, [&] { return Result.has_value(); }, 5s));
+    standins::runFor(Context_, 20ms);
+    return *Result;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(peer_cancellation, Fixture)
+
+// A cancellation at another entry than the one with the job was answered as if
+// there were no such job, and the job ran on.
+BOOST_AUTO_TEST_CASE(cancels_a_job_of_another_entry) {
+  BOOST_TEST((cancel("job") == PeerCancelResult::Cancelled));
+  BOOST_TEST(Third_->Jobs_.empty());
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(an_ended_process_has_no_jobs) {
+  Third_.reset();
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_entry_may_have_the_job) {
+  Third_->Silent_ = true;
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
+  BOOST_TEST(First_.Events_.back() == "cancel_unanswered");
+  Second_.Jobs_ = {"other"};
+  BOOST_TEST((cancel("other") == PeerCancelResult::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_entries_are_listed) {
+  PeerCancelResult Result = PeerCancelResult::Cancelled;
+  Second_.Cancellation_.cancel("job", [&](auto Answer) { Result = Answer; });
+  BOOST_TEST((Result == PeerCancelResult::Unanswered));
+}
+
+BOOST_AUTO_TEST_CASE(limits_the_number_of_pending_cancellations) {
+  Third_->Silent_ = true;
+  std::size_t Unanswered = 0;
+  for (int I = 0; I < 100; ++I)
+    First_.Cancellation_.cancel("x", [&](auto Answer) {
+      Unanswered += Answer == PeerCancelResult::Unanswered ? 1 : 0;
+    });
+  BOOST_TEST(Unanswered == 36u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
