Measure contact with an entry by the reports that it has confirmed

Cause: the agent measured contact by the receipt of messages. A message that was held up on its way, or in the buffers of a paused agent, extended starts and leases beyond the time at which its entry had given the runs up.

Change: a heartbeat, like an order, returns the agent's clock of the last report. That time, not the receipt, limits starts and leases.

--- a/packages/process/include/wigeonwall/process/dispatch/messages.h
+++ b/packages/process/include/wigeonwall/process/dispatch/messages.h
@@ -79,7 +79,10 @@
 [[nodiscard]] std::string encodeWelcome(bool Resumed);
 [[nodiscard]] std::optional<bool> decodeWelcome(std::string_view Bytes,
                                                 MessageFault &Fault);
-[[nodiscard]] std::string encodeHeartbeat();
+/// \p AgentClockMs is AgentReport::AgentClockMs_ of the agent's last report.
+[[nodiscard]] std::string encodeHeartbeat(std::int64_t AgentClockMs);
+[[nodiscard]] std::optional<std::int64_t>
+decodeHeartbeat(std::string_view Bytes, MessageFault &Fault);
 /// \brief Encodes the parameters of a query, which requests a report.
 [[nodiscard]] std::string encodeQuery();
 [[nodiscard]] std::string encodeCancel(const std::string &Job);
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -54,8 +54,12 @@
   /// \brief Ends all sessions after the process has stalled, because pending
   /// messages may be older than the entries' latest decisions.
   void closeAllSessions(const std::string &Reason);
-  /// \brief Returns when the last message of an entry was received; empty if
-  /// it has no session.
+  /// \brief Returns a time after which an entry was certainly running: that of
+  /// the last report that the entry has confirmed with an order or a heartbeat.
+  /// Empty if it has no session.
+  ///
+  /// The time at which a message was received would not do, because it may have
+  /// been held up on the way or in the buffers of this process.
   [[nodiscard]] std::optional<request::TimePoint>
   lastContact(const std::string &Owner) const;
   [[nodiscard]] std::size_t ownerCount() const noexcept {
@@ -70,6 +74,8 @@
     Link Link_;
     connection::PeerSession Session_;
     request::TimePoint LastReceivedAt_;
+    /// Time of the last report that the entry is known to have received.
+    request::TimePoint ConfirmedAt_;
     request::TimePoint LastSentAt_;
     /// Number of ordered tasks without an outcome.
     std::size_t OpenTasks_ = 0;
@@ -88,6 +94,8 @@
   void onMessage(const std::string &Name, connection::PeerMessage Message);
   void remove(const std::string &Name, const std::string &Reason);
   void onOrder(const std::string &Name, Owner &Entry, const RunOrder &Order);
+  /// Records that the entry has received the report of \p AgentClockMs.
+  void confirm(Owner &Entry, std::int64_t AgentClockMs) const;
   void sendReports();
   /// Sends a report to each entry that has not been sent a message for the
   /// heartbeat or idle period.
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -69,9 +69,9 @@
 struct RunAgentHooks {
   request::Clock Now_;
   MinionCalls Minion_;
-  /// Returns when the owner was last heard from. Empty if its session has ended
-  /// or the process has been paused, so that the owner may have given up its
-  /// runs meanwhile.
+  /// Returns a time after which the owner was certainly running. Empty if its
+  /// session has ended or the process has been paused, so that the owner may
+  /// have given up its runs meanwhile.
   std::function<std::optional<request::TimePoint>(const std::string &Owner)>
       LastContact_;
   std::function<void(const std::string &Owner, const RunOutcome &Outcome)>
--- a/packages/process/src/dispatch/agent_links.cpp
+++ b/packages/process/src/dispatch/agent_links.cpp
@@ -240,8 +240,8 @@
       if (Now - Peer.LastSentAt_ >= (Peer.OpenTasks_ > 0
                                          ? Timing_.HeartbeatPeriod_
                                          : Timing_.IdleHeartbeatPeriod_)) {
-        Peer.Link_->send(
-            Peer.Session_.unsequencedFrame("heartbeat", encodeHeartbeat()));
+        Peer.Link_->send(Peer.Session_.unsequencedFrame(
+            "heartbeat", encodeHeartbeat(Peer.Report_.AgentClockMs_)));
         Peer.LastSentAt_ = Now;
       }
       continue;
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -87,7 +87,18 @@
       Fault, [Bytes] { return std::get<0>(unpack<bool>(Bytes)); });
 }
 
-std::string encodeHeartbeat() { return pack(); }
+std::string encodeHeartbeat(std::int64_t AgentClockMs) {
+  return pack(AgentClockMs);
+}
+
+std::optional<std::int64_t> decodeHeartbeat(std::string_view Bytes,
+                                            MessageFault &Fault) {
+  return catchDecodeErrors(Fault, [Bytes] {
+    const std::int64_t ClockMs = std::get<0>(unpack<std::int64_t>(Bytes));
+    requireRange(ClockMs, 0, MaxNumber);
+    return ClockMs;
+  });
+}
 
 std::string encodeQuery() { return pack(); }
 
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -90,7 +90,7 @@
                            connection::PeerMessage Message) {
   Owner &Entry = Owners_[Name];
   Entry.LastReceivedAt_ = Hooks_.Now_();
-  if (!Entry.Session_.accept(Message) || Message.Method_ == "heartbeat")
+  if (!Entry.Session_.accept(Message))
     return;
   if (Message.Method_ == "query") {
     refreshReport();
@@ -98,7 +98,10 @@
     return sendReport(Entry, Bodies);
   }
   MessageFault Fault;
-  if (Message.Method_ == "order") {
+  if (Message.Method_ == "heartbeat") {
+    if (const auto ClockMs = decodeHeartbeat(Message.Params_, Fault))
+      return confirm(Entry, *ClockMs);
+  } else if (Message.Method_ == "order") {
     if (const auto Order = decodeOrder(Message.Params_, Fault))
       return onOrder(Name, Entry, *Order);
   } else if (Message.Method_ == "cancel") {
@@ -121,8 +124,10 @@
   // the entry has given the tasks to another agent.
   const std::chrono::milliseconds Age(clockMs() - Order.AgentClockMs_);
   // A clock ahead of the agent's own was not read from any of its reports.
-  if (Age >= Age.zero() && Age <= Timing_.OwnerTimeout_)
+  if (Age >= Age.zero() && Age <= Timing_.OwnerTimeout_) {
+    confirm(Entry, Order.AgentClockMs_);
     return Hooks_.OnOrder_(Name, Order);
+  }
   Hooks_.Log_(Name, "order_declined",
               "job=" + Order.Job_ +
                   " cause=stale age_ms=" + std::to_string(Age.count()));
@@ -136,6 +141,12 @@
   }
 }
 
+void OwnerLinks::confirm(Owner &Entry, std::int64_t AgentClockMs) const {
+  const TimePoint ReportedAt{std::chrono::milliseconds(AgentClockMs)};
+  if (ReportedAt <= Hooks_.Now_())
+    Entry.ConfirmedAt_ = std::max(Entry.ConfirmedAt_, ReportedAt);
+}
+
 std::int64_t OwnerLinks::clockMs() const {
   return request::toMilliseconds(Hooks_.Now_().time_since_epoch());
 }
@@ -176,7 +187,7 @@
   const auto Known = Owners_.find(Name);
   if (Known == Owners_.end())
     return std::nullopt;
-  return Known->second.LastReceivedAt_;
+  return Known->second.ConfirmedAt_;
 }
 
 bool OwnerLinks::reportsChanges() const {
--- a/tests/unit/dispatch_links_test.cpp
+++ b/tests/unit/dispatch_links_test.cpp
@@ -208,6 +208,37 @@
   BOOST_TEST((Orders_ == std::vector<std::string>{"b"}));
 }
 
+// A message may have been held up on its way, or in the buffers of a paused
+// process, until long after its sender has ended.
+BOOST_AUTO_TEST_CASE(contact_is_measured_by_confirmed_reports) {
+  EndsTasks_ = false;
+  run(100ms);
+  BOOST_TEST(!Agent_->lastContact("nobody").has_value());
+  order("a");
+  run(200ms);
+  const auto Now = process::steadyClock();
+  const auto Contact = Agent_->lastContact("entry@1");
+  BOOST_REQUIRE(Contact.has_value());
+  BOOST_TEST((Now() - *Contact < 150ms));
+  Entry_.reset();
+  const auto Peer = standins::RawPeer::open(Context_, Port);
+  connection::PeerSession Session;
+  const std::int64_t Before = request::toMilliseconds(Now().time_since_epoch());
+  Peer->send(Session.unsequencedFrame("hello", encodeHello({"late", "1"})));
+  for (int I = 0; I < 5; ++I) {
+    Peer->send(Session.unsequencedFrame("heartbeat", encodeHeartbeat(Before)));
+    run(20ms);
+  }
+  const auto Late = Agent_->lastContact("late");
+  BOOST_REQUIRE(Late.has_value());
+  BOOST_TEST((request::toMilliseconds(Late->time_since_epoch()) == Before));
+  // A time ahead of the agent's clock is not that of a report.
+  Peer->send(Session.unsequencedFrame("heartbeat",
+                                      encodeHeartbeat(Before + 3'600'000)));
+  run(20ms);
+  BOOST_TEST((*Agent_->lastContact("late") == *Late));
+}
+
 // An exception while a message was handled ended the whole process.
 BOOST_AUTO_TEST_CASE(an_exception_ends_only_the_connection) {
   run(100ms);
--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -160,6 +160,9 @@
   BOOST_TEST(!decodeHello(connection::pack("entry"), Fault).has_value());
   BOOST_TEST(!decodeWelcome(connection::pack("yes"), Fault).has_value());
   BOOST_TEST(!decodeCancel("", Fault).has_value());
+  for (const std::int64_t Clock : {std::int64_t{-1}, INT64_MAX})
+    BOOST_TEST(!decodeHeartbeat(encodeHeartbeat(Clock), Fault).has_value());
+  BOOST_TEST(!decodeHeartbeat(connection::pack(), Fault).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(hello_welcome_and_cancel_round_trip) {
@@ -170,6 +173,8 @@
   BOOST_TEST(Hello->Session_ == "7");
   BOOST_TEST(decodeWelcome(encodeWelcome(true), Fault).value());
   BOOST_TEST(decodeCancel(encodeCancel("job"), Fault).value() == "job");
+  BOOST_TEST(decodeHeartbeat(encodeHeartbeat(482'113), Fault).value() ==
+             482'113);
 }
 
 BOOST_AUTO_TEST_CASE(rejects_malformed_frames) {
