--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -386,7 +386,8 @@
 // A start that had been given up took effect in the next process of the minion,
 // which has the same id, while the task ran elsewhere.
 BOOST_AUTO_TEST_CASE(a_late_start_has_no_effect_after_a_restart) {
-  // The clock of the next process starts anew, so the old deadline is far ahead.
+  // The clock of the next process starts anew, so the old deadline is far
+  // ahead.
   advance(10s);
   Minion_.StartFaults_ = {CallFault::AppliedLate};
   Minion_.LateCallsOutlastRestart_ = true;
