--- a/tests/standins/fake_run_minion.cpp
+++ b/tests/standins/fake_run_minion.cpp
@@ -20,6 +20,8 @@
 constexpr Duration HoldGrace = 100ms;
 constexpr Duration LateDelay = 3s;
 constexpr Duration PollPeriod = 1ms;
+/// A longer lease is shortened.
+constexpr std::int64_t MaxLeaseMs = 1'000;
 
 } // namespace
 
@@ -108,7 +110,8 @@
   if (Call.FencingToken_ < Token_)
     return StartReply::Fenced;
   Token_ = Call.FencingToken_;
-  LeaseEndMs_ = std::max(LeaseEndMs_, Call.LeaseEndMs_);
+  LeaseEndMs_ =
+      std::max(LeaseEndMs_, std::min(Call.LeaseEndMs_, clockMs() + MaxLeaseMs));
   if (clockMs() > Call.LeaseEndMs_)
     return StartReply::TooLate;
   if (Runs_.count(Call.Key_) != 0)
@@ -140,8 +143,8 @@
 void FakeRunMinion::applyHold(const HoldCall &Call) {
   Token_ = std::max(Token_, Call.FencingToken_);
   if (Call.LeaseEndMs_)
-    LeaseEndMs_ =
-        std::max(LeaseEndMs_, std::min(*Call.LeaseEndMs_, clockMs() + 1'000));
+    LeaseEndMs_ = std::max(LeaseEndMs_,
+                           std::min(*Call.LeaseEndMs_, clockMs() + MaxLeaseMs));
   Observed_ = std::max(Observed_, Call.Observed_);
   std::erase_if(Ended_,
                 [this](const auto &Row) { return Row.Position_ <= Observed_; });
