--- a/packages/connection/include/wigeonwall/connection/http_client.h
+++ b/packages/connection/include/wigeonwall/connection/http_client.h
@@ -34,12 +34,12 @@
 
 struct HttpResult {
   TransportError Error_ = TransportError::None;
+  /// The peer's machine refused the connection: no process listens there.
+  bool Refused_ = false;
   /// Message of the last system error, for logs.
   std::string Detail_;
   /// Valid when Error_ is None.
   HttpResponse Response_;
-  /// The peer's machine refused the connection: no process listens there.
-  bool Refused_ = false;
 };
 
 using HttpCallback = std::function<void(HttpResult)>;
--- a/packages/connection/src/consul_store.cpp
+++ b/packages/connection/src/consul_store.cpp
@@ -165,9 +165,10 @@
       return sendRequest(std::move(Request), Timeout, Endpoints_.size() - 1,
                          std::move(Done));
     asio::post(Context_, [Done = std::move(Done)] {
-      Done({TransportError::NotSent,
-            "no endpoint of the key-value service is configured",
-            {}});
+      HttpResult Result;
+      Result.Error_ = TransportError::NotSent;
+      Result.Detail_ = "no endpoint of the key-value service is configured";
+      Done(std::move(Result));
     });
   }
 
