--- a/tests/standins/session_model.cpp
+++ b/tests/standins/session_model.cpp
@@ -497,23 +497,23 @@
   Entry &To = *Entries_[Index];
   const auto Done = std::make_shared<bool>(false);
   // Once per attempt: by the answer, the end of the entry, or a timeout.
-  const auto finish = [this, Job, Attempt, Done](bool Resubmit) {
+  const auto Finish = [this, Job, Attempt, Done](bool Resubmit) {
     if (std::exchange(*Done, true))
       return;
     if (Resubmit && Attempt < MaxAttempts)
       Time_.after(CallerResend,
                   [this, Job, Attempt] { submit(Job, Attempt + 1); });
   };
-  const auto watch = std::make_shared<std::function<void()>>();
-  *watch = [this, finish, Done, Alive = To.Alive_,
-            Weak = std::weak_ptr<std::function<void()>>(watch)] {
+  const auto Watch = std::make_shared<std::function<void()>>();
+  *Watch = [this, Finish, Done, Alive = To.Alive_,
+            Weak = std::weak_ptr<std::function<void()>>(Watch)] {
     if (!*Alive)
-      return finish(true);
+      return Finish(true);
     if (!*Done)
       Time_.after(5ms, [Again = Weak.lock()] { (*Again)(); });
   };
-  (*watch)();
-  deliver(To, 1ms, [this, Index, Job, finish, Done] {
+  (*Watch)();
+  deliver(To, 1ms, [this, Index, Job, Finish, Done] {
     // An entry does not accept a request whose connection has been closed.
     if (*Done)
       return;
@@ -523,19 +523,19 @@
     Policy.SlackFactor_ = 6;
     Policy.TargetLatency_ = 300ms;
     Entries_[Index]->Jobs_->submit(
-        Job, Policy, "queue", [this, finish](const JobAnswer &Answer) {
+        Job, Policy, "queue", [this, Finish](const JobAnswer &Answer) {
           if (Answer.Result_ == JobResult::Completed)
             ++Result_.Completed_;
-          finish(Answer.Result_ == JobResult::Abandoned);
+          Finish(Answer.Result_ == JobResult::Abandoned);
         });
   });
-  Time_.after(CallerTimeout, [this, Index, Job, finish, Done] {
+  Time_.after(CallerTimeout, [this, Index, Job, Finish, Done] {
     if (*Done)
       return;
     deliver(*Entries_[Index], 1ms, [this, Index, Job] {
       Entries_[Index]->Jobs_->cancel(Job.Id_, JobReason::CallerGone);
     });
-    finish(true);
+    Finish(true);
   });
 }
 
