--- a/packages/process/include/wigeonwall/process/dispatch/agent_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/agent_links.h
@@ -79,8 +79,8 @@
   [[nodiscard]] bool isSilent(const Remote &Peer, request::TimePoint Now) const;
   void expectAnswer(Remote &Peer) const;
   /// Returns the name of another agent with this address; empty if none.
-  [[nodiscard]] std::string userOf(const connection::Endpoint &Address,
-                                   const std::string &Except) const;
+  [[nodiscard]] std::string otherAgentAt(const connection::Endpoint &Address,
+                                         const std::string &Except) const;
   /// Connects to the listed agents that have no connection yet.
   void connectListed();
   void connect(const std::string &Name, Remote &Peer);
--- a/packages/process/include/wigeonwall/process/dispatch/link_timing.h
+++ b/packages/process/include/wigeonwall/process/dispatch/link_timing.h
@@ -29,9 +29,9 @@
   /// Like AgentTimeout_, for an agent that has no tasks of the entry and sends
   /// reports at IdleReportPeriod_. Two reports may be lost.
   request::Duration IdleAgentTimeout_ = std::chrono::milliseconds(3'500);
-  /// A lease ends at most this long after the last message of an entry that
-  /// has a run on the minion, so that the run has ended when the caller
-  /// resubmits its job, even if the agent has ended too.
+  /// No lease is granted beyond this time after the last contact with any
+  /// entry that has a run on the minion, so that the run has ended when the
+  /// caller resubmits its job, even if the agent has ended too.
   request::Duration MaxLeaseAfterContact_ = std::chrono::milliseconds(1'215);
   /// Time after which the runs of an entry have ended once it has ended its
   /// session with the agent: OwnerTimeout_ plus the remainder of a lease on a
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -58,8 +58,8 @@
   /// the last report that the entry has confirmed with an order or a heartbeat.
   /// Empty if it has no session.
   ///
-  /// The time at which a message was received would not do, because it may have
-  /// been held up on the way or in the buffers of this process.
+  /// The time at which a message was received is not used, because the message
+  /// may have been delayed on the way or in the buffers of this process.
   [[nodiscard]] std::optional<request::TimePoint>
   lastContact(const std::string &Owner) const;
   [[nodiscard]] std::size_t ownerCount() const noexcept {
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -88,7 +88,7 @@
 
 struct RunAgentOptions {
   request::RunTrackerOptions Tracker_;
-  /// Nothing is started for an owner that has been silent for longer.
+  /// Nothing is started for an owner without contact for longer.
   request::Duration OwnerTimeout_ = std::chrono::milliseconds(700);
   /// Latest end of a lease after the last contact with the owner of any run.
   request::Duration MaxLeaseAfterContact_ = std::chrono::milliseconds(1'215);
@@ -150,8 +150,8 @@
            std::int64_t FencingToken);
 
   /// \brief Applies a report of the minion. A report of another minion process
-  /// is only a claim: that process is used once it has answered a poll itself,
-  /// and the runs of the present one are not given up before.
+  /// has no effect until that process has answered a poll itself; the runs of
+  /// the present one are not given up before.
   void onMinionReport(const request::MinionReport &Report);
   /// \brief Handles a minion's notice that it leaves. Its runs are given up
   /// only after it has stopped answering.
@@ -230,7 +230,8 @@
   void applyListing(const request::RunListing &Listing,
                     request::TimePoint SentAt);
   void advance();
-  /// Returns true if the owner, as of \p Now, still counts on the agent.
+  /// Returns true if the owner has a session and was in contact within
+  /// RunAgentOptions::OwnerTimeout_.
   [[nodiscard]] bool holdsSession(const std::string &Owner,
                                   request::TimePoint Now) const;
   /// Returns false if the owner's session has ended, or no lease can be granted
--- a/packages/process/src/dispatch/agent_links.cpp
+++ b/packages/process/src/dispatch/agent_links.cpp
@@ -23,7 +23,7 @@
 
 void AgentLinks::connectListed() {
   for (const auto &[Name, Address] : ListedAgents_) {
-    if (const std::string Other = userOf(Address, Name); !Other.empty()) {
+    if (const std::string Other = otherAgentAt(Address, Name); !Other.empty()) {
       Hooks_.Log_(Name, "member_ignored",
                   "cause=duplicate_address other=" + Other);
       continue;
@@ -40,8 +40,8 @@
   }
 }
 
-std::string AgentLinks::userOf(const connection::Endpoint &Address,
-                               const std::string &Except) const {
+std::string AgentLinks::otherAgentAt(const connection::Endpoint &Address,
+                                     const std::string &Except) const {
   for (const auto &[Name, Peer] : Remotes_)
     if (Name != Except && Peer.Address_ == Address &&
         (Peer.Listed_ || Peer.Established_))
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -144,7 +144,7 @@
 bool RunAgent::mayReplacePresent(const Candidate &Entry) const {
   const auto &Present = Tracker_.minion();
   // Two processes cannot answer at one address. A process at another address
-  // proves nothing, so the runs of the present one have to end or to lapse.
+  // may run beside the present one, whose runs then have to end or lapse first.
   return !Present || Present->Address_ == Entry.Report_.Address_ ||
          (!Reachable_ && Tracker_.runCount() == 0);
 }
@@ -425,7 +425,8 @@
 }
 
 void RunAgent::pollMinion(bool Immediate) {
-  // A present minion is polled as long as another process claims its place.
+  // While another process has reported, polls show whether the present minion
+  // still runs.
   const bool Needed =
       Tracker_.needsListing() ||
       (Tracker_.minion() &&
