Answer a request once after its handler has thrown

Found when the diff was read again: a handler that threw after it had kept its callback could answer beside the 500. a_request_is_answered_once_after_an_ exception saw two answers before.

--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -128,7 +128,9 @@
     try {
       Server_->Handler_(std::move(Request), [Self = this->shared_from_this()](
                                                 HttpResponse Response) {
-        Self->write(std::move(Response));
+        // A handler that threw may have kept this callback.
+        if (!Self->Answered_)
+          Self->write(std::move(Response));
       });
     } catch (...) {
       if (!Answered_)
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -51,8 +51,10 @@
                 [this](HttpRequest Request, HttpRespond Respond) {
                   if (Request.Target_ == "/hold")
                     return Held_.push_back(std::move(Respond));
-                  if (Request.Target_ == "/throw")
+                  if (Request.Target_ == "/throw") {
+                    Held_.push_back(std::move(Respond));
                     throw std::out_of_range("unexpected");
+                  }
                   HttpResponse Response;
                   Response.Body_ = Request.Target_ == "/big"
                                        ? std::string(64 << 20, 'x')
@@ -174,6 +176,20 @@
   BOOST_TEST(serves());
 }
 
+// The answer of a handler that had thrown was written beside the error.
+BOOST_FIXTURE_TEST_CASE(a_request_is_answered_once_after_an_exception,
+                        Fixture) {
+  const auto Peer = open();
+  Peer->send(get("/throw"));
+  BOOST_CHECK_THROW(until([&] { return Held_.size() == 2; }),
+                    std::out_of_range);
+  BOOST_REQUIRE(Held_.size() == 1u);
+  Held_.front()({});
+  BOOST_TEST(until([&] { return Peer->closed(); }));
+  BOOST_TEST(Peer->count("HTTP/1.1 ") == 1u);
+  BOOST_TEST(Peer->count("HTTP/1.1 500") == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_slow_request_is_closed_while_others_are_served,
                         Fixture) {
   const std::string Text = post(std::string(200, 'a'));
