--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.h
@@ -747,9 +747,9 @@
       if (fault.delay > 0) {
         asio::co_spawn(
             io,
-            [this, path, body, fault]() -> awaitable<void> {
+            [this, path, body, fault, life = born_]() -> awaitable<void> {
               co_await pause(fault.delay);
-              if (up_)
+              if (up_ && life == born_)
                 (void)execute(path, body);
             },
             asio::detached);
