--- a/review/harness-2/harness.h
+++ b/review/harness-2/harness.hpp
@@ -290,9 +290,10 @@
   /// machines can be turned away.
   std::string addAccess(const std::string &machine) {
     auto &entry = access_[machine];
-    entry.server = std::make_unique<Server>(
-        "127.0.0.1",
-        [this, machine](Request &r) { return handle(machine, r); });
+    entry.server =
+        std::make_unique<Server>("127.0.0.1", [this, machine](Request &r) {
+          return handle(machine, r);
+        });
     entry.server->listen();
     return entry.server->where();
   }
@@ -364,8 +365,8 @@
     auto at = target.find('?');
     while (at != std::string::npos) {
       const auto end = target.find('&', at + 1);
-      const std::string part = target.substr(
-          at + 1, end == std::string::npos ? end : end - at - 1);
+      const std::string part =
+          target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
       if (part.rfind(name + "=", 0) == 0) {
         std::string out;
         for (std::size_t i = name.size() + 1; i < part.size(); ++i) {
@@ -522,9 +523,9 @@
 inline Millis specValue(const std::string &spec, const std::string &name,
                         Millis otherwise) {
   const auto at = spec.find(name + "=");
-  return at == std::string::npos ? otherwise
-                                 : std::atoll(spec.c_str() + at +
-                                              name.size() + 1);
+  return at == std::string::npos
+             ? otherwise
+             : std::atoll(spec.c_str() + at + name.size() + 1);
 }
 
 struct MinionOptions {
@@ -581,17 +582,21 @@
   [[nodiscard]] std::size_t running() const { return runs_.size(); }
   void silence() { server_->silence(); }
 
-  /// Decides about an order before it is executed: 0 is usual; "lost": done,
-  /// not answered; "late": not answered, done after that many ms.
+  /// What happens to an order.
   struct Fault {
     bool answered = true;
+    /// Not answered, and carried out after that many ms.
     Millis delay = 0;
+    /// Carried out also if the minion has started again under its id meanwhile.
+    bool outlasts = false;
   };
   std::function<Fault(const std::string &path, const Json::Value &)> onOrder;
   /// Called for each start that brings the minion over its capacity.
   std::function<void(const std::string &task)> onOver;
   /// Sends heartbeats while true.
   bool beating = true;
+  /// When the last heartbeat was sent.
+  Millis lastBeat = 0;
 
 private:
   using Key = std::pair<std::string, std::int64_t>;
@@ -656,6 +661,7 @@
 
 public:
   awaitable<void> beat() {
+    lastBeat = now();
     Json::Value body(Json::objectValue);
     body["service"] = options_.service;
     body["address"] = server_->where();
@@ -692,8 +698,9 @@
     token_ = fence;
     const auto prolong = [&] {
       if (body.isMember("deadline_ms"))
-        lease_ = std::max(lease_, std::min<Millis>(body["deadline_ms"].asInt64(),
-                                                   clock() + options_.maxHold));
+        lease_ =
+            std::max(lease_, std::min<Millis>(body["deadline_ms"].asInt64(),
+                                              clock() + options_.maxHold));
     };
     const Key key{body["task"].asString(), body["run"].asInt64()};
     if (path == "/api/run-stop") {
@@ -749,7 +756,7 @@
             io,
             [this, path, body, fault, life = born_]() -> awaitable<void> {
               co_await pause(fault.delay);
-              if (up_ && life == born_)
+              if (up_ && (fault.outlasts || life == born_))
                 (void)execute(path, body);
             },
             asio::detached);
@@ -775,7 +782,8 @@
                                                  clock() + options_.maxHold));
     observed_ = std::max<std::int64_t>(observed_, body["observed"].asInt64());
     finished_.erase(finished_.begin(), finished_.upper_bound(observed_));
-    const Millis end = now() + std::min<Millis>(body["wait_ms"].asInt64(), 2000);
+    const Millis end =
+        now() + std::min<Millis>(body["wait_ms"].asInt64(), 2000);
     const auto life = born_;
     while (finished_.empty() && now() < end && life == born_)
       co_await pause(2);
@@ -818,7 +826,8 @@
 inline unsigned short freePort() {
   static std::set<unsigned short> used;
   for (;;) {
-    tcp::acceptor probe(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::acceptor probe(io,
+                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
     const auto port = probe.local_endpoint().port();
     if (used.insert(port).second)
       return port;
@@ -920,8 +929,9 @@
     each.ready = freeAddress();
     each.peers = freeAddress();
     std::ostringstream text;
-    text << common(each.name, "entry", each.peers) << "[entry]\ncallers_listen = "
-         << each.callers << "\nreadiness_listen = " << each.ready
+    text << common(each.name, "entry", each.peers)
+         << "[entry]\ncallers_listen = " << each.callers
+         << "\nreadiness_listen = " << each.ready
          << "\nremote_penalty = 1.5\nmax_report_age_ms = 25\n"
             "query_timeout_ms = 15\n";
     each.process =
@@ -936,8 +946,8 @@
     each.peers = freeAddress();
     each.process = std::make_unique<Process>(
         binary_, each.name,
-        common(each.name, "agent", each.peers) + "[agent]\nreports_listen = " +
-            each.control + "\n",
+        common(each.name, "agent", each.peers) +
+            "[agent]\nreports_listen = " + each.control + "\n",
         folder_);
     minion.id = "i-" + std::to_string(agents.size() + 1);
     minion.control = each.control;
@@ -1018,7 +1028,7 @@
 }
 
 struct Job {
-  std::string id, spec;
+  std::string id, spec, label;
   int count = 1;
   Millis cpu = 1000, ram = 64, estimated = 500, deadline = 5000;
 };
@@ -1032,13 +1042,14 @@
   step["cpu"] = Json::Int64(job.cpu);
   step["ram_mb"] = Json::Int64(job.ram);
   step["estimated_ms"] = Json::Int64(job.estimated);
+  if (!job.label.empty())
+    step["requirements"] = job.label;
   out["steps"].append(step);
   return str(out);
 }
 
 /// Hands a job in at an entry and waits for the answer.
-inline awaitable<Reply> submit(std::string entry, Job job,
-                               std::string prefix) {
+inline awaitable<Reply> submit(std::string entry, Job job, std::string prefix) {
   note("caller: POST " + job.id + " at " + entry);
   const Reply reply =
       co_await call("POST", entry, prefix + job.id, jobBody(job), job.deadline,
@@ -1048,6 +1059,33 @@
   co_return reply;
 }
 
+/// A run that overlaps another run of its task, as minions saw both.
+struct Overlap {
+  Event first, second;
+  Millis length;
+};
+inline std::vector<Overlap> overlaps() {
+  std::vector<Overlap> out;
+  const auto endOf = [](const Event &start) {
+    for (const Event &each : events)
+      if (each.how != "start" && each.minion == start.minion &&
+          each.task == start.task && each.run == start.run &&
+          each.at >= start.at)
+        return each.at;
+    return now();
+  };
+  for (std::size_t i = 0; i < events.size(); ++i)
+    for (std::size_t j = i + 1; j < events.size(); ++j) {
+      const Event &a = events[i], &b = events[j];
+      if (a.how != "start" || b.how != "start" || a.task != b.task)
+        continue;
+      const Millis length = std::min(endOf(a), endOf(b)) - b.at;
+      if (length > 0)
+        out.push_back({a, b, length});
+    }
+  return out;
+}
+
 inline std::string jobId(int number) {
   char text[17];
   std::snprintf(text, sizeof text, "5c0e7a21%08x", unsigned(number));
