--- a/review/harness-2/harness.hpp
+++ b/review/harness-2/harness.hpp
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -519,6 +520,9 @@
 };
 inline std::vector<Event> events;
 
+/// Returns a free port of the loopback interface.
+unsigned short freePort();
+
 /// The work of a task is in the spec of its job: "work=MS fail=0|1 cpu=N".
 inline Millis specValue(const std::string &spec, const std::string &name,
                         Millis otherwise) {
@@ -544,7 +548,7 @@
       : options_(std::move(options)),
         server_(std::make_unique<Server>(
             "127.0.0.1", [this](Request &r) { return handle(r); })) {
-    server_->listen();
+    server_->listen(freePort());
     begin();
     asio::co_spawn(io, work(), asio::detached);
     asio::co_spawn(io, beats(), asio::detached);
@@ -823,13 +827,20 @@
 
 // ---------------------------------------------------------------- processes
 
+/// Below the range of outgoing connections, which could take a port before its
+/// process listens.
 inline unsigned short freePort() {
   static std::set<unsigned short> used;
+  static std::mt19937 random(std::random_device{}());
   for (;;) {
-    tcp::acceptor probe(io,
-                        tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const auto port = probe.local_endpoint().port();
-    if (used.insert(port).second)
+    const auto port = static_cast<unsigned short>(
+        std::uniform_int_distribution<int>(10000, 31000)(random));
+    tcp::acceptor probe(io);
+    Error error;
+    const tcp::endpoint at(asio::ip::make_address("127.0.0.1"), port);
+    probe.open(at.protocol());
+    probe.bind(at, error);
+    if (!error && used.insert(port).second)
       return port;
   }
 }
