Measure what the kernel holds for the clients of a test

The tests of clients outside the limits saw the resident memory of a process only, in samples. The platform also counts bytes that were received and not read, and a body that is parsed takes its memory for some ms.

checkWithSockets() bounds the peak of the process (VmHWM) and the queues of its sockets in /proc/net/tcp. Each client of a crowd may send a text of its own.

Adds the kind of client of the issue that had no test: bodies of announced length that stop just short of their end. A single body of 1 MiB is served.

--- a/tests/integration/untrusted_bodies_test.cpp
+++ b/tests/integration/untrusted_bodies_test.cpp
@@ -40,6 +40,14 @@
   check(Listener::Callers, 250, {ChunkedHead, chunk(16'000), 980'000});
 }
 
+// The body of announced length ends 20 KB before its end.
+BOOST_AUTO_TEST_CASE(unfinished_bodies_of_announced_length) {
+  check(Listener::Callers, 250,
+        {"POST /q/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1000000\r\n"
+         "\r\n",
+         std::string(16'000, 'x'), 980'000});
+}
+
 BOOST_AUTO_TEST_CASE(unfinished_bodies_in_small_chunks) {
   check(Listener::Callers, 300, {ChunkedHead, chunk(8), 600'000});
 }
@@ -57,4 +65,15 @@
       {std::string("\x00\x40\x00\x00", 4), std::string(1024, 'x'), 4'000'000});
 }
 
+// The limits, and the small buffers of the sockets, must leave room for a
+// single request of the largest size.
+BOOST_AUTO_TEST_CASE(a_single_body_of_the_largest_size_is_served) {
+  const std::string Job =
+      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":3000,)"
+      R"("ram_mb":64,"estimated_ms":100}]})";
+  BOOST_TEST(Cluster_.requestStatus(0, "POST", "/q/" + jobId(8, 1),
+                                    std::string((1 << 20) - Job.size(), ' ') +
+                                        Job) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/client_crowd.cpp
+++ b/tests/standins/client_crowd.cpp
@@ -37,23 +37,25 @@
   }
 
   asio::ip::tcp::socket Socket_;
+  std::string Head_;
   std::size_t Sent_ = 0;
   bool Done_ = false;
 };
 
 ClientCrowd::ClientCrowd(std::uint16_t Port, std::size_t Clients,
                          const CrowdScript &Script)
-    : Head_(Script.Head_), Block_(repeat(Script.Piece_, BlockBytes)),
+    : Block_(repeat(Script.Piece_, BlockBytes)),
       Blocks_(Block_.empty() ? 0 : Script.TotalBytes_ / Block_.size()) {
   const asio::ip::tcp::endpoint Server(asio::ip::make_address("127.0.0.1"),
                                        Port);
   for (std::size_t I = 0; I < Clients; ++I) {
     Clients_.push_back(std::make_unique<Client>(Context_));
     Client &Added = *Clients_.back();
+    Added.Head_ = Script.HeadOf_ ? Script.HeadOf_(I) : Script.Head_;
     Added.Socket_.async_connect(Server, [this, &Added](auto Error) {
       Added.Done_ = static_cast<bool>(Error);
       if (!Error)
-        Added.send(*this, Head_);
+        Added.send(*this, Added.Head_);
     });
   }
 }
--- a/tests/standins/client_crowd.h
+++ b/tests/standins/client_crowd.h
@@ -21,6 +21,8 @@
   /// the connection stays open.
   std::string Piece_;
   std::size_t TotalBytes_ = 0;
+  /// Returns the text that a client sends in place of Head_, if set.
+  std::function<std::string(std::size_t Client)> HeadOf_ = {};
 };
 
 /// \brief Connections to one port on loopback that all send one script.
@@ -44,7 +46,6 @@
   struct Client;
 
   connection::asio::io_context Context_{1};
-  std::string Head_;
   std::string Block_;
   std::size_t Blocks_;
   std::vector<std::unique_ptr<Client>> Clients_;
--- a/tests/standins/resource_usage.cpp
+++ b/tests/standins/resource_usage.cpp
@@ -1,8 +1,10 @@
 #include "standins/resource_usage.h"
 
+#include <cstdio>
 #include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <netinet/tcp.h>
 #include <string>
 #include <unistd.h>
 
@@ -33,6 +35,36 @@
   return readResidentBytes(std::to_string(Process));
 }
 
+std::size_t peakResidentBytes(pid_t Process) {
+  constexpr std::size_t BytesPerKib = 1'024;
+  std::ifstream Status("/proc/" + std::to_string(Process) + "/status");
+  std::string Word;
+  std::size_t Kib = 0;
+  while (Status >> Word)
+    if (Word == "VmHWM:" && Status >> Kib)
+      break;
+  return Kib * BytesPerKib;
+}
+
+std::size_t socketBytes(std::uint16_t Port) {
+  std::ifstream Table("/proc/net/tcp");
+  std::string Line;
+  std::getline(Table, Line);
+  std::size_t Result = 0;
+  while (std::getline(Table, Line)) {
+    unsigned LocalPort = 0;
+    unsigned State = 0;
+    unsigned Unsent = 0;
+    unsigned Unread = 0;
+    // The queue of a listening socket counts connections.
+    if (std::sscanf(Line.c_str(), "%*d: %*8x:%x %*8x:%*x %x %x:%x", &LocalPort,
+                    &State, &Unsent, &Unread) == 4 &&
+        LocalPort == Port && State != TCP_LISTEN)
+      Result += Unsent + Unread;
+  }
+  return Result;
+}
+
 std::size_t openDescriptors(pid_t Process) {
   std::error_code Error;
   std::size_t Count = 0;
--- a/tests/standins/untrusted_fixture.h
+++ b/tests/standins/untrusted_fixture.h
@@ -94,10 +94,56 @@
     BOOST_TEST(PeakDescriptors < MaxDescriptors);
   }
 
+  /// Like check(), but the bound is on the peak of the process, and includes
+  /// what the kernel holds for connections of the listener.
+  void checkWithSockets(Listener Which, std::size_t Clients,
+                        const CrowdScript &Script) {
+    ChildProcess &Process =
+        atEntry(Which) ? Cluster_.entry(0) : Cluster_.agent(0);
+    std::size_t PeakSocketBytes = 0;
+    std::size_t PeakDescriptors = 0;
+    {
+      ClientCrowd Crowd(Cluster_.port(Which, 0), Clients, Script);
+      Crowd.run(SendTime, Pause, [&] {
+        PeakSocketBytes =
+            std::max(PeakSocketBytes, socketBytes(Cluster_.port(Which, 0)));
+        PeakDescriptors =
+            std::max(PeakDescriptors, openDescriptors(Process.id()));
+      });
+      BOOST_TEST(Process.running());
+      BOOST_TEST(serves());
+    }
+    std::this_thread::sleep_for(Pause);
+    const std::size_t PeakBytes = peakResidentBytes(Process.id());
+    BOOST_TEST_MESSAGE("listener="
+                       << request::findName(ListenerNames, Which)
+                       << " clients=" << Clients << " peak_bytes=" << PeakBytes
+                       << " peak_socket_bytes=" << PeakSocketBytes
+                       << " peak_descriptors=" << PeakDescriptors
+                       << " bytes_afterwards=" << residentBytes(Process.id()));
+    BOOST_TEST(PeakBytes + PeakSocketBytes < MaxResidentBytes);
+    BOOST_TEST(PeakDescriptors < MaxDescriptors);
+  }
+
   PlatformCluster Cluster_;
   int NextJob_ = 0;
 };
 
+/// \brief A request of a caller with a whole body of known length.
+inline std::string wholeRequest(const std::string &Target,
+                                const std::string &Body) {
+  return "POST " + Target + " HTTP/1.1\r\nHost: h.example\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// \brief Repeats \p Piece while the result is at most \p Bytes long.
+inline std::string repeatText(const std::string &Piece, std::size_t Bytes) {
+  std::string Result;
+  while (Result.size() + Piece.size() <= Bytes)
+    Result += Piece;
+  return Result;
+}
+
 inline const std::string ChunkedHead =
     "POST /q/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n"
     "\r\n";
