Refuse a body with too many JSON values before it is parsed

Callers saw an entry run out of memory after a few whole requests of the permitted size. JsonCpp takes about 100 bytes for each value, so that 1 MiB of "[0],[0]" grows to 70 MB while it is parsed, and holds up the thread.

Lower limits of bodies would still let each grow by 70 times.

--- a/packages/request/include/wigeonwall/request/codec.h
+++ b/packages/request/include/wigeonwall/request/codec.h
@@ -25,6 +25,12 @@
 [[nodiscard]] std::optional<Json::Value> parseJson(std::string_view Text,
                                                    CodecFault &Error);
 
+/// \brief Parses JSON text from a client that is not trusted; refuses a text
+/// with more than \p MaxValues values and member names before it is parsed.
+[[nodiscard]] std::optional<Json::Value> parseLimitedJson(std::string_view Text,
+                                                          std::size_t MaxValues,
+                                                          CodecFault &Error);
+
 /// \brief Serializes JSON without white space.
 [[nodiscard]] std::string writeJson(const Json::Value &Value);
 
--- a/packages/request/include/wigeonwall/request/json_text.h
+++ b/packages/request/include/wigeonwall/request/json_text.h
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Unicode validation of JSON text, which JsonCpp does not do.
+/// \brief Checks of JSON text that JsonCpp does not do.
 #ifndef WIGEONWALL_REQUEST_JSON_TEXT_H
 #define WIGEONWALL_REQUEST_JSON_TEXT_H
 
@@ -18,6 +18,13 @@
 [[nodiscard]] std::optional<std::size_t>
 findInvalidCharacter(std::string_view Text);
 
+/// \brief Returns whether \p Text has more than \p MaxValues values and member
+/// names; exact for valid JSON.
+///
+/// JsonCpp uses about 100 bytes for each value, so that a text of "[0],[0]"
+/// takes 70 times its size when it is parsed.
+[[nodiscard]] bool hasMoreValues(std::string_view Text, std::size_t MaxValues);
+
 } // namespace wigeonwall::request
 
 #endif
--- a/packages/request/src/codec.cpp
+++ b/packages/request/src/codec.cpp
@@ -87,6 +87,17 @@
   return std::nullopt;
 }
 
+std::optional<Json::Value> parseLimitedJson(std::string_view Text,
+                                            std::size_t MaxValues,
+                                            CodecFault &Error) {
+  if (!hasMoreValues(Text, MaxValues))
+    return parseJson(Text, Error);
+  Error = {CodecError::Syntax,
+           "invalid JSON: more than " + std::to_string(MaxValues) + " values",
+           ""};
+  return std::nullopt;
+}
+
 std::string writeJson(const Json::Value &Value) {
   static const Json::StreamWriterBuilder Builder = [] {
     Json::StreamWriterBuilder Result;
--- a/packages/request/src/json_text.cpp
+++ b/packages/request/src/json_text.cpp
@@ -71,4 +71,21 @@
   return std::nullopt;
 }
 
+bool hasMoreValues(std::string_view Text, std::size_t MaxValues) {
+  // Each value but the first of its container follows a separator.
+  std::size_t Values = 1;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size() && Values <= MaxValues; ++I) {
+    const char Character = Text[I];
+    if (Character == '"')
+      InString = !InString;
+    else if (InString)
+      I += Character == '\\' ? 1 : 0;
+    else if (Character == ',' || Character == ':' || Character == '[' ||
+             Character == '{')
+      ++Values;
+  }
+  return Values > MaxValues;
+}
+
 } // namespace wigeonwall::request
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -3,6 +3,8 @@
 /// position, and a job is unchanged by encoding and decoding.
 #include "wigeonwall/request/codec.h"
 
+#include "wigeonwall/request/json_text.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace wigeonwall::request;
@@ -128,3 +130,30 @@
         BOOST_TEST((parseJson(writeJson(*Value), Error) == Value));
     }
 }
+
+struct ValuesCase {
+  const char *Text_;
+  std::size_t Values_;
+};
+
+const ValuesCase ValuesCases[] = {
+    {"0", 1},
+    {"[]", 2},
+    {"[0,1]", 3},
+    {R"({"a":0,"b":[1]})", 6},
+    {R"(["a,b:[{","\",["])", 3},
+    {R"("\\")", 1},
+};
+
+// An array of 1 MiB took 70 MB when it was parsed.
+BOOST_AUTO_TEST_CASE(counts_the_values_of_a_text) {
+  for (const ValuesCase &Each : ValuesCases)
+    BOOST_TEST_CONTEXT(Each.Text_) {
+      BOOST_TEST(!hasMoreValues(Each.Text_, Each.Values_));
+      BOOST_TEST(hasMoreValues(Each.Text_, Each.Values_ - 1));
+    }
+  CodecFault Fault;
+  BOOST_TEST(parseLimitedJson("[0,1]", 3, Fault).has_value());
+  BOOST_TEST(!parseLimitedJson("[0,1]", 2, Fault).has_value());
+  BOOST_TEST(Fault.Message_ == "invalid JSON: more than 2 values");
+}
