Cut error messages and log lines that repeat a client's text

A number that JsonCpp cannot read is part of its message, at any length. An entry sent it back (900 KB) and logged it; the target of a request and the method of a link's message are logged too.

--- a/packages/process/src/observation/log.cpp
+++ b/packages/process/src/observation/log.cpp
@@ -24,6 +24,9 @@
 // logger without appenders.
 std::atomic<bool> LogStarted{false};
 
+/// Names and messages in a line may come from clients.
+constexpr std::size_t MaxLineBytes = 4 * 1024;
+
 log4cplus::Logger &logger() {
   static log4cplus::Logger Result =
       log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("wigeonwall"));
@@ -117,6 +120,12 @@
   std::uint64_t DroppedLines_ = 0;
 };
 
+void writeLine(log4cplus::LogLevel Level, std::string Line) {
+  if (Line.size() > MaxLineBytes)
+    Line = Line.substr(0, MaxLineBytes) + "...";
+  logger().forcedLog(Level, Line);
+}
+
 void setAppender(log4cplus::SharedAppenderPtr Appender,
                  const std::string &ProcessId) {
   std::string Process = quoteLogValue(ProcessId);
@@ -166,7 +175,7 @@
     Line += " subject=" + quoteLogValue(Subject);
   if (!Detail.empty())
     (Line += ' ') += Detail;
-  logger().forcedLog(log4cplus::INFO_LOG_LEVEL, Line);
+  writeLine(log4cplus::INFO_LOG_LEVEL, std::move(Line));
 }
 
 void logEvent(std::string_view Component, std::string_view Event,
@@ -178,7 +187,7 @@
                      " event=" + quoteLogValue(Event);
   for (const LogField &Field : Fields)
     Line += " " + Field.Key_ + "=" + quoteLogValue(Field.Value_);
-  logger().forcedLog(NativeLevel, Line);
+  writeLine(NativeLevel, std::move(Line));
 }
 
 void logHandlerError(const std::string &Message) {
--- a/packages/request/src/codec.cpp
+++ b/packages/request/src/codec.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t MaxTimeoutMs = 600'000;
 constexpr std::int64_t MaxDeclaredRunMs = 600'000;
 constexpr int MaxNestingDepth = 64;
+/// JsonCpp repeats malformed numbers of any length in its message.
+constexpr std::size_t MaxErrorBytes = 200;
 
 void addToHash(std::uint64_t &Hash, std::string_view Text) {
   for (unsigned char Byte : Text)
@@ -83,6 +85,8 @@
     // JsonCpp throws if the nesting exceeds the limit.
     Errors = Thrown.what();
   }
+  if (Errors.size() > MaxErrorBytes)
+    Errors = Errors.substr(0, MaxErrorBytes) + "...";
   Error = {CodecError::Syntax, "invalid JSON: " + Errors, ""};
   return std::nullopt;
 }
--- a/tests/unit/codec_test.cpp
+++ b/tests/unit/codec_test.cpp
@@ -157,3 +157,10 @@
   BOOST_TEST(!parseLimitedJson("[0,1]", 2, Fault).has_value());
   BOOST_TEST(Fault.Message_ == "invalid JSON: more than 2 values");
 }
+
+// The message repeated a number of any length, in the log and in the response.
+BOOST_AUTO_TEST_CASE(messages_of_syntax_errors_are_short) {
+  CodecFault Fault;
+  BOOST_TEST(!parseJson("1e" + std::string(100'000, '9'), Fault).has_value());
+  BOOST_TEST(Fault.Message_.size() < 300u);
+}
--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -35,3 +35,15 @@
              "event=member_dead member=\"a b\" epoch=7");
   BOOST_TEST(!std::getline(Stream, Line));
 }
+
+// Targets, names and messages in a line may come from clients.
+BOOST_AUTO_TEST_CASE(long_lines_are_cut) {
+  const wigeonwall::standins::TemporaryDirectory Directory;
+  BOOST_REQUIRE(startLog("agent", Directory.file("log")));
+  logDecision("jobs", "no_route", std::string(100'000, 'x'), "");
+  std::ifstream Stream(Directory.file("log"));
+  std::string Line;
+  BOOST_REQUIRE(std::getline(Stream, Line));
+  BOOST_TEST(Line.size() < 5'000u);
+  BOOST_TEST(Line.ends_with("..."));
+}
