Limit the names that an accepted job keeps

An accepted job keeps its rack and its label until its last task has ended, and each could be as long as the body.

Racks and labels are names; over 256 bytes they are refused with 400.

--- a/tests/integration/untrusted_jobs_test.cpp
+++ b/tests/integration/untrusted_jobs_test.cpp
@@ -42,4 +42,22 @@
                    {wholeRequest("/explain", nestedArrays(64 * 1024)), "", 0});
 }
 
+// An accepted job kept every string of its body until its last task ended.
+BOOST_AUTO_TEST_CASE(waiting_jobs_do_not_keep_their_body) {
+  Cluster_.run([this] {
+    Cluster_.minion(0).RunTimeOf_ = [](const std::string &Task) {
+      return Task.starts_with(jobId(8, 0).substr(0, 8)) ? 5s : 100ms;
+    };
+    Cluster_.minion(0).Needs_ = {1, 1, 0};
+  });
+  CrowdScript Script;
+  Script.HeadOf_ = [](std::size_t Client) {
+    return wholeRequest("/q/" + jobId(8, static_cast<int>(Client)),
+                        encodeJob(R"(,"cpu":1,"ram_mb":1,"preferred_rack":")" +
+                                      std::string(150'000, 'r') + "\"",
+                                  1));
+  };
+  checkWithSockets(Listener::Callers, 300, Script);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -116,6 +116,23 @@
   }
 }
 
+// A job keeps its names until its last task has ended; they could be as long as
+// the body.
+BOOST_AUTO_TEST_CASE(names_of_a_job_have_a_limit) {
+  for (const char *Name : {"preferred_rack", "requirements"})
+    for (const std::size_t Bytes : {256, 257}) {
+      JobDecodeFault Fault;
+      const auto Job = decodeJob(
+          Id,
+          post(R"({"spec":"x","best_effort":true,"steps":[{"count":1,")" +
+               std::string(Name) + R"(":")" + std::string(Bytes, 'r') +
+               "\"}]}"),
+          Fault);
+      BOOST_TEST(Job.has_value() == (Bytes == 256));
+      BOOST_TEST((Fault.Code_ == JobDecodeError::Malformed) == (Bytes == 257));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodes_all_fields_of_a_job) {
   JobDecodeFault Fault;
   const auto Job =
