Bound the tasks of all jobs, and the queue of an agent

A body of 100 bytes could ask for 10,000 tasks, and 937 requests could wait. Each task has a state at the entry, an entry in an order and one in the queue of an agent. The placement of such a job also stalls a small entry for long enough to lose its sessions, as explain_codec.cpp says.

TaskQuota bounds the tasks of all jobs at one for each KB of the total of unfinished input (30,000 on 120 MB); beyond it a job is refused with 503 before anything is placed, so that the refusal is true. An agent declines tasks when 4,000 wait; their entries place them elsewhere.

--- a/packages/process/include/wigeonwall/process/dispatch/input_limits.h
+++ b/packages/process/include/wigeonwall/process/dispatch/input_limits.h
@@ -18,6 +18,8 @@
   std::size_t CallerConnections_ = 0;
   /// Callers' requests that wait for their response.
   std::size_t WaitingRequests_ = 0;
+  /// Tasks of all jobs of an entry.
+  std::size_t OpenTasks_ = 0;
 };
 
 [[nodiscard]] InputTotals inputTotals(const DispatchSettings &Settings);
--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_PROCESS_DISPATCH_JOB_DISPATCHER_H
 
 #include "wigeonwall/process/dispatch/messages.h"
+#include "wigeonwall/process/dispatch/task_quota.h"
 #include "wigeonwall/process/runtime/peer_call.h"
 #include "wigeonwall/request/admission_margin.h"
 #include "wigeonwall/request/batch_job.h"
@@ -151,6 +152,8 @@
   request::Duration QueryTimeout_ = std::chrono::milliseconds(15);
   /// Maximum number of samples of agents that are queried for one placement.
   std::uint32_t MaxQueryRounds_ = 2;
+  /// Maximum number of tasks of all jobs; 0 for no limit.
+  std::size_t MaxTasks_ = 0;
   /// Maximum Retry-After of a refused job; with 1 s it is the predicted wait.
   std::chrono::seconds MaxRetryAfter_{1};
 };
@@ -170,8 +173,8 @@
   JobDispatcher(JobDispatcherOptions Options, request::FleetView &View,
                 JobDispatcherHooks Hooks)
       : Options_(Options), View_(View), Hooks_(std::move(Hooks)),
-        Retry_({.MaxDelay_ = Options.MaxRetryAfter_}, Hooks_.Now_,
-               Hooks_.Random_) {}
+        Tasks_(Options.MaxTasks_), Retry_({.MaxDelay_ = Options.MaxRetryAfter_},
+                                          Hooks_.Now_, Hooks_.Random_) {}
 
   /// \brief Submits a job. \p Reply is called exactly once, possibly before
   /// this function returns. Resubmitting an active job attaches \p Reply to it.
@@ -239,6 +242,7 @@
     request::Duration Slack_{};
     request::TimePoint Deadline_;
     request::TimePoint ExpiresAt_;
+    TaskClaim Claim_;
     std::vector<TaskState> Tasks_;
     Placement Placement_;
     bool Admitted_ = false;
@@ -309,6 +313,7 @@
   JobDispatcherOptions Options_;
   request::FleetView &View_;
   JobDispatcherHooks Hooks_;
+  TaskQuota Tasks_;
   request::AdmissionMargin Margin_;
   request::RetryAdvisor Retry_;
   std::map<std::string, JobState> Jobs_;
--- a/packages/process/include/wigeonwall/process/dispatch/run_agent.h
+++ b/packages/process/include/wigeonwall/process/dispatch/run_agent.h
@@ -74,6 +74,9 @@
   /// Minimum time without progress before a run is considered stalled.
   request::Duration MinStallTime_ = std::chrono::milliseconds(400);
   MinionCandidatesOptions Candidates_;
+  /// Tasks that wait at the agent; further ones are declined. A minion starts
+  /// some tens of tasks a second.
+  std::size_t MaxQueueLength_ = 4'000;
   /// Stops runs that would not end before the announced departure of the
   /// minion, so that they are started elsewhere.
   bool EvictBeforeDeparture_ = false;
--- a/packages/process/src/dispatch/input_limits.cpp
+++ b/packages/process/src/dispatch/input_limits.cpp
@@ -36,6 +36,10 @@
 /// Memory of a waiting request: the largest `spec` when escaped, and its job.
 constexpr std::size_t WaitingRequestBytes = 32 * BytesPerKb;
 
+/// Memory of a task: its state, and its part of an order that the agent has not
+/// confirmed.
+constexpr std::size_t TaskBytes = 1'000;
+
 constexpr std::uint64_t SmallBodyBytes = 4 * 1024;
 /// A job to be explained, with the largest `spec` when escaped.
 constexpr std::uint64_t EntryBodyBytes = 64 * 1024;
@@ -77,6 +81,7 @@
     Result.CallerConnections_ =
         std::min(Result.CallerConnections_, *Settings.CallerConnections_);
   Result.WaitingRequests_ = Total / WaitingRequestBytes;
+  Result.OpenTasks_ = Total / TaskBytes;
   return Result;
 }
 
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -118,7 +118,12 @@
   const TimePoint Now = Hooks_.Now_();
   if (ShutdownDeadline_ && Now + Times.Objective_ > *ShutdownDeadline_)
     return refuse(Spec.Id_, Reply, JobReason::ShuttingDown, {}, {}, "");
+  auto Claim = Tasks_.claim(Spec.TaskCount_);
+  if (!Claim)
+    return refuse(Spec.Id_, Reply, JobReason::Overloaded, {}, {},
+                  " open_tasks=" + std::to_string(Tasks_.used()));
   JobState Next;
+  Next.Claim_ = std::move(*Claim);
   Next.Serial_ = ++LastSerial_;
   Next.Spec_ = Spec;
   Next.Policy_ = Policy;
--- a/packages/process/src/dispatch/run_agent.cpp
+++ b/packages/process/src/dispatch/run_agent.cpp
@@ -192,6 +192,8 @@
     Waiting.LatestUsefulStart_ = Now + Order.TimeToExpiry_ - RunTime;
     if (!MinionFits || !accepting())
       decline(Waiting, rejectionCause(Order));
+    else if (Queue_.size() >= Options_.MaxQueueLength_)
+      decline(Waiting, "queue_full");
     else if (Order.MayDecline_ && expectedWait(Waiting) > Order.MaxWait_)
       decline(Waiting, "no_room");
     else
--- a/tests/integration/untrusted_jobs_test.cpp
+++ b/tests/integration/untrusted_jobs_test.cpp
@@ -60,4 +60,22 @@
   checkWithSockets(Listener::Callers, 300, Script);
 }
 
+// A body of 100 bytes may ask for 10,000 tasks, each of which has a state.
+BOOST_AUTO_TEST_CASE(jobs_of_many_tasks_are_bounded) {
+  Cluster_.run([this] {
+    Cluster_.minion(0).RunTimeOf_ = [](const std::string &Task) {
+      return Task.starts_with(jobId(8, 0).substr(0, 8)) ? 5s : 100ms;
+    };
+    Cluster_.minion(0).Needs_ = {};
+  });
+  CrowdScript Script;
+  Script.HeadOf_ = [](std::size_t Client) {
+    return wholeRequest("/q/" + jobId(8, static_cast<int>(Client)),
+                        encodeJob("", 10'000));
+  };
+  checkWithSockets(Listener::Callers, 60, Script);
+  BOOST_TEST(Cluster_.agent(0).running());
+  BOOST_TEST(peakResidentBytes(Cluster_.agent(0).id()) < MaxResidentBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/input_limits_test.cpp
+++ b/tests/unit/input_limits_test.cpp
@@ -87,6 +87,7 @@
   const InputTotals Default = inputTotals(Settings);
   BOOST_TEST(Default.TrafficBytes_ + Default.ControlBytes_ == 30'000'000u);
   BOOST_TEST(Default.CallerConnections_ == 3'000u);
+  BOOST_TEST(Default.OpenTasks_ == 30'000u);
   Settings.MemoryMb_ = 512;
   Settings.FileDescriptors_ = 3'075;
   const InputTotals Large = inputTotals(Settings);
--- a/tests/unit/job_dispatcher_test.cpp
+++ b/tests/unit/job_dispatcher_test.cpp
@@ -112,6 +112,34 @@
   BOOST_TEST(Jobs_.jobCount() == 0u);
 }
 
+// A request of 100 bytes asks for a thousand tasks, each of which has a state.
+BOOST_AUTO_TEST_CASE(refuses_jobs_beyond_the_limit_on_all_tasks) {
+  JobDispatcher Limited({.MaxTasks_ = 3}, View_, hooks());
+  request::BatchJob Job;
+  Job.Needs_ = {3'000, 64, 0};
+  Job.Estimate_ = 100ms;
+  const auto Submit = [&](const std::string &Id, std::uint32_t Tasks) {
+    Job.Id_ = Id;
+    Job.TaskCount_ = Tasks;
+    Limited.submit(Job, Policy_, "queue", [this](const JobAnswer &Answer) {
+      Answers_.push_back(Answer);
+    });
+  };
+  Submit("first", 2);
+  BOOST_TEST(Answers_.empty());
+  Submit("second", 2);
+  BOOST_REQUIRE(Answers_.size() == 1u);
+  BOOST_TEST((Answers_[0].Result_ == JobResult::Refused));
+  BOOST_TEST((Answers_[0].Reason_ == JobReason::Overloaded));
+  BOOST_TEST((Answers_[0].RetryAfter_ >= 1s));
+  for (const std::uint32_t Index : {0U, 1U})
+    Limited.onOutcome(agentOf(Index), {"first", Index, RunEnd::Done, 1, ""});
+  BOOST_TEST(Answers_.size() == 2u);
+  Submit("third", 3);
+  BOOST_TEST(Answers_.size() == 2u);
+  BOOST_TEST(Limited.jobCount() == 1u);
+}
+
 // Guards against advice that ignores the jobs refused before. Nothing has been
 // admitted, so the second caller is told to stay away for long.
 BOOST_AUTO_TEST_CASE(the_advice_to_refused_callers_follows_the_backlog) {
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -780,6 +780,19 @@
   BOOST_TEST(count(RunEnd::NeverRan) == 2u);
 }
 
+// Each task that waits holds memory, and lengthens the forecast of each other.
+BOOST_AUTO_TEST_CASE(declines_tasks_beyond_the_limit_of_its_queue) {
+  Options_.MaxQueueLength_ = 5;
+  newAgent(2'000'000);
+  advance(100ms);
+  order("a", 30);
+  // Ten tasks start at once.
+  BOOST_TEST(count(RunEnd::NeverRan) >= 15u);
+  BOOST_TEST(Agent_->queueLength() <= 5u);
+  for (const auto &[Owner, Outcome] : Outcomes_)
+    BOOST_TEST(Outcome.Reason_ == "queue_full");
+}
+
 BOOST_AUTO_TEST_CASE(stops_a_stalled_run) {
   Minion_.StalledTasks_ = {"a/0"};
   order("a", 1);
