Bound the kernel's buffers of accepted sockets

The platform counts bytes that were received and not read as memory of the process. A connection whose request has no response yet is not read; the kernel held about 120 KB for each, and more for one that has been read before (tcp_rmem allows 32 MiB). The accept queue had room for 4,096.

The listening sockets have the sizes, since sockets in the accept queue have them as well: 16 KiB to receive and 32 KiB to send for HTTP, 64 KiB each for links. The accept queue has room for 1,024.

--- a/packages/connection/include/wigeonwall/connection/http_server.h
+++ b/packages/connection/include/wigeonwall/connection/http_server.h
@@ -7,6 +7,7 @@
 #include "wigeonwall/connection/endpoint.h"
 #include "wigeonwall/connection/http_message.h"
 #include "wigeonwall/connection/input_budget.h"
+#include "wigeonwall/connection/socket_buffers.h"
 
 #include <chrono>
 #include <cstdint>
@@ -31,6 +32,7 @@
   std::chrono::milliseconds ReadTimeout_{5'000};
   /// Time between two requests on a connection.
   std::chrono::milliseconds IdleTimeout_{60'000};
+  SocketBuffers Buffers_ = {};
   /// Allows several servers, one per thread, to listen on the address.
   bool ReusePort_ = false;
   /// Requests that are handled and have no response yet; 0 for no limit.
--- a/packages/connection/include/wigeonwall/connection/peer_connection.h
+++ b/packages/connection/include/wigeonwall/connection/peer_connection.h
@@ -11,6 +11,7 @@
 #include "wigeonwall/connection/endpoint.h"
 #include "wigeonwall/connection/input_budget.h"
 #include "wigeonwall/connection/peer_session.h"
+#include "wigeonwall/connection/socket_buffers.h"
 
 #include <chrono>
 #include <functional>
@@ -32,6 +33,7 @@
   std::chrono::milliseconds ReadTimeout_{5'000};
   /// Accepted connections of a listener.
   std::size_t Connections_ = 1'024;
+  SocketBuffers Buffers_ = {};
   /// Bytes of unfinished messages, shared with the servers of the event loop;
   /// no limit without it.
   std::shared_ptr<InputBudget> Budget_ = {};
--- a/packages/connection/src/acceptor.cpp
+++ b/packages/connection/src/acceptor.cpp
@@ -3,7 +3,7 @@
 namespace wigeonwall::connection::detail {
 
 bool openAcceptor(asio::ip::tcp::acceptor &Acceptor, const Endpoint &Address,
-                  bool ReusePort) {
+                  bool ReusePort, const SocketBuffers &Buffers) {
   using ReusePortOption =
       asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
   using asio::ip::tcp;
@@ -16,10 +16,19 @@
     Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
   if (!Error && ReusePort)
     Acceptor.set_option(ReusePortOption(true), Error);
+  // Accepted sockets inherit both; the window is negotiated with the first
+  // packet.
+  boost::system::error_code Ignored;
+  if (!Error && Buffers.Receive_ != 0)
+    Acceptor.set_option(
+        asio::socket_base::receive_buffer_size(Buffers.Receive_), Ignored);
+  if (!Error && Buffers.Send_ != 0)
+    Acceptor.set_option(asio::socket_base::send_buffer_size(Buffers.Send_),
+                        Ignored);
   if (!Error)
     Acceptor.bind(Local, Error);
   if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+    Acceptor.listen(MaxPendingConnections, Error);
   return !Error;
 }
 
--- a/packages/connection/src/acceptor.h
+++ b/packages/connection/src/acceptor.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/connection/asio.h"
 #include "wigeonwall/connection/endpoint.h"
+#include "wigeonwall/connection/socket_buffers.h"
 
 namespace wigeonwall::connection::detail {
 
@@ -12,10 +13,18 @@
 /// immediately.
 inline constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
+/// Connections that the kernel has established and the process has not
+/// accepted.
+inline constexpr int MaxPendingConnections = 1'024;
+
 /// \brief Binds \p Acceptor to \p Address and listens; false if the address is
 /// invalid or in use.
+///
+/// Accepted sockets have \p Buffers; connections that wait to be accepted have
+/// them too.
 [[nodiscard]] bool openAcceptor(asio::ip::tcp::acceptor &Acceptor,
-                                const Endpoint &Address, bool ReusePort);
+                                const Endpoint &Address, bool ReusePort,
+                                const SocketBuffers &Buffers);
 
 } // namespace wigeonwall::connection::detail
 
--- a/packages/connection/src/peer_connection.cpp
+++ b/packages/connection/src/peer_connection.cpp
@@ -220,7 +220,7 @@
       OnAccept_(std::move(OnAccept)), Limits_(std::move(Limits)) {}
 
 bool PeerListener::listen() {
-  if (!detail::openAcceptor(Acceptor_, Address_, false))
+  if (!detail::openAcceptor(Acceptor_, Address_, false, Limits_.Buffers_))
     return false;
   accept();
   return true;
--- a/packages/process/src/dispatch/input_limits.cpp
+++ b/packages/process/src/dispatch/input_limits.cpp
@@ -48,6 +48,10 @@
 constexpr std::size_t SideConnections = 64;
 constexpr std::size_t EntryConnections = 128;
 constexpr std::size_t LinkConnections = 256;
+/// A request of the usual size fits into the receive buffer. The input behind a
+/// request stays there until the request has its response.
+constexpr connection::SocketBuffers HttpBuffers{16 * 1024, 32 * 1024};
+constexpr connection::SocketBuffers LinkBuffers{64 * 1024, 64 * 1024};
 /// Callers keep idle connections open between requests.
 constexpr std::chrono::minutes CallerIdleTimeout{10};
 
@@ -103,6 +107,7 @@
   HttpLimits Result;
   Result.BodyBytes_ = BodyBytes;
   Result.Connections_ = Connections;
+  Result.Buffers_ = HttpBuffers;
   Result.Budget_ = Budget;
   Result.OnRefused_ = Count_;
   return Result;
@@ -135,6 +140,7 @@
 PeerLimits InputLimits::links() const {
   PeerLimits Result;
   Result.Connections_ = LinkConnections;
+  Result.Buffers_ = LinkBuffers;
   Result.Budget_ = Traffic_;
   Result.OnRefused_ = Count_;
   return Result;
