Share large responses, and bound the others that are not read

Each connection that asked an entry for its configuration had a copy of it until it was sent. With the configuration at the store's limit of 1 MiB and 128 connections that do not read, an entry holds 115 MB in itself, and more in the kernel.

Responses of DocumentRelay refer to one string. Other responses above 4 KiB (metrics, explanations) count towards the budget of the event loop until they are sent; with the budget used up, the largest goes first. Answers of jobs are far smaller and are never ended for this.

--- a/packages/connection/include/wigeonwall/connection/http_message.h
+++ b/packages/connection/include/wigeonwall/connection/http_message.h
@@ -4,6 +4,7 @@
 #define WIGEONWALL_CONNECTION_HTTP_MESSAGE_H
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,8 @@
   std::vector<HttpHeader> Headers_;
   std::string Body_;
   std::string ContentType_ = "application/json";
+  /// Sent in place of Body_ if set, by any number of responses.
+  std::shared_ptr<const std::string> SharedBody_ = {};
 };
 
 /// \brief Returns the value of the header \p Name (lower case), or "".
--- a/packages/connection/include/wigeonwall/connection/input_budget.h
+++ b/packages/connection/include/wigeonwall/connection/input_budget.h
@@ -33,9 +33,11 @@
   Waiting,
   /// Message between processes over its limit.
   Message,
+  /// Output that the peer did not read, when the budget was used up.
+  Unread,
 };
 
-inline constexpr std::array<request::EnumName<InputRefusal>, 10>
+inline constexpr std::array<request::EnumName<InputRefusal>, 11>
     InputRefusalNames{{
         {InputRefusal::Header, "header"},
         {InputRefusal::Trailers, "trailers"},
@@ -47,6 +49,7 @@
         {InputRefusal::Descriptors, "descriptors"},
         {InputRefusal::Waiting, "waiting"},
         {InputRefusal::Message, "message"},
+        {InputRefusal::Unread, "unread"},
     }};
 
 using CountInputRefusal = std::function<void(InputRefusal)>;
--- a/packages/connection/src/http_session.cpp
+++ b/packages/connection/src/http_session.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t ReadBytes = 4 * 1024;
 /// Largest read of a body of known length.
 constexpr std::size_t BodyReadBytes = 16 * 1024;
+/// Larger responses count as input of the connection until they are sent.
+constexpr std::size_t FreeResponseBytes = 4 * 1024;
 /// Time that a peer has to read the last response and close the connection.
 constexpr std::chrono::milliseconds MaxLingerTime{1'000};
 
@@ -128,6 +130,8 @@
 }
 
 void HttpSession::waitForRequest() {
+  Account_.release();
+  Body_.reset();
   if (Reader_.hasInput()) {
     beginRequest();
     return consume(std::string_view());
@@ -297,7 +301,12 @@
   for (const auto &[Name, Value] : Response.Headers_)
     Message_->set(Name, Value);
   Message_->set(http::field::content_type, Response.ContentType_);
-  Message_->body() = std::move(Response.Body_);
+  if (!holdResponse(Response))
+    return;
+  Body_ = Response.SharedBody_
+              ? std::move(Response.SharedBody_)
+              : std::make_shared<const std::string>(std::move(Response.Body_));
+  Message_->body() = {Body_->data(), Body_->size()};
   KeepAlive_ = KeepAlive_ && !Server_->Closing_;
   Message_->keep_alive(KeepAlive_);
   Message_->prepare_payload();
@@ -310,6 +319,18 @@
                     });
 }
 
+bool HttpSession::holdResponse(const HttpResponse &Response) {
+  if (Response.SharedBody_ || Response.Body_.size() <= FreeResponseBytes)
+    return true;
+  return Account_.hold(Response.Body_.size(), [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->Server_->countRefusal(InputRefusal::Unread);
+    Self->abort();
+  });
+}
+
 /// Shuts down sending and discards input until the peer closes the connection.
 /// Closing a socket with unread input resets the connection, so that the peer
 /// may lose the response.
@@ -318,6 +339,7 @@
     return;
   releaseInput();
   Message_.reset();
+  Body_.reset();
   beast::error_code Error;
   Socket_.shutdown(Tcp::socket::shutdown_send, Error);
   if (Error)
--- a/packages/connection/src/http_session.h
+++ b/packages/connection/src/http_session.h
@@ -112,6 +112,9 @@
   void reject(int Status, std::string Message,
               std::vector<HttpHeader> Headers = {});
   void write(HttpResponse Response);
+  /// Counts a large response that only this connection has; false if the budget
+  /// has ended it.
+  [[nodiscard]] bool holdResponse(const HttpResponse &Response);
   void close();
   void discard();
   void releaseInput();
@@ -126,7 +129,10 @@
   Clock::time_point TimerEnd_ = Clock::time_point::max();
   HttpRequestReader Reader_;
   InputAccount Account_;
-  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
+  /// Body of Message_.
+  std::shared_ptr<const std::string> Body_;
+  std::optional<
+      boost::beast::http::response<boost::beast::http::span_body<const char>>>
       Message_;
   std::function<void()> OnPeerClosed_;
   unsigned Version_ = 11;
--- a/packages/process/include/wigeonwall/process/dispatch/document_relay.h
+++ b/packages/process/include/wigeonwall/process/dispatch/document_relay.h
@@ -61,7 +61,8 @@
   DocumentRelayHooks Hooks_;
   connection::HttpClient Client_;
   std::int64_t Version_ = 0;
-  std::string Document_;
+  /// Shared by the responses that are being sent.
+  std::shared_ptr<const std::string> Document_;
   std::vector<connection::Endpoint> Peers_;
   std::size_t NextPeer_ = 0;
   bool PollingEnabled_ = false;
--- a/packages/process/src/dispatch/document_relay.cpp
+++ b/packages/process/src/dispatch/document_relay.cpp
@@ -40,7 +40,7 @@
 
 void DocumentRelay::setDocument(std::int64_t Version, std::string Document) {
   Version_ = Version;
-  Document_ = std::move(Document);
+  Document_ = std::make_shared<const std::string>(std::move(Document));
 }
 
 void DocumentRelay::setPeers(std::vector<connection::Endpoint> Peers) {
@@ -62,7 +62,7 @@
   if (Version_ <= After)
     Response.Status_ = StatusNoContent;
   else
-    Response.Body_ = Document_;
+    Response.SharedBody_ = Document_;
   Respond(std::move(Response));
   return true;
 }
--- a/tests/integration/untrusted_answers_test.cpp
+++ b/tests/integration/untrusted_answers_test.cpp
@@ -42,6 +42,33 @@
   checkWithSockets(Listener::Callers, Clients, Script);
 }
 
+// Each connection held a copy of the configuration until it was sent.
+BOOST_AUTO_TEST_CASE(configurations_that_are_not_read_are_bounded) {
+  // The store accepts values of up to 1 MiB.
+  std::string Routes;
+  for (int I = 0; Routes.size() < 900'000; ++I)
+    Routes += R"(,{"name":"r)" + std::to_string(I) +
+              R"(","host":"h.example","prefix":"/r)" + std::to_string(I) +
+              R"(/","service":"permit-desk","target_latency_ms":300,)"
+              R"("priority":0,"max_attempts":2,"slack_factor":3})";
+  Cluster_.run([&] {
+    Cluster_.store().put(
+        "op/config",
+        R"({"version":2,"routes":[{"name":"r","host":"h.example",)"
+        R"("prefix":"/q/","service":"permit-desk","target_latency_ms":300,)"
+        R"("priority":0,"max_attempts":2,"slack_factor":3})" +
+            Routes + "]}");
+  });
+  const auto Target = "/r0/" + jobId(9, 1);
+  for (int I = 0; I < 100 && Cluster_.requestStatus(0, "GET", Target) == 404;
+       ++I)
+    std::this_thread::sleep_for(50ms);
+  BOOST_REQUIRE(Cluster_.requestStatus(0, "GET", Target) != 404);
+  checkWithSockets(
+      Listener::EntryPeers, Clients,
+      {"", "GET /config?after=0 HTTP/1.1\r\nHost: h.example\r\n\r\n", 40'000});
+}
+
 // The error of a malformed body repeated a part of the body in the response.
 BOOST_AUTO_TEST_CASE(error_responses_do_not_repeat_the_body) {
   const std::string Request = wholeRequest(
--- a/tests/unit/http_pressure_test.cpp
+++ b/tests/unit/http_pressure_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -24,6 +25,13 @@
                 [this](const HttpRequest &Request, HttpRespond Respond) {
                   if (Request.Target_ == "/hold")
                     return Held_.push_back(std::move(Respond));
+                  if (Request.Target_ == "/large")
+                    return Respond({200, {}, std::string(Large, 'x')});
+                  if (Request.Target_ == "/shared") {
+                    HttpResponse Response;
+                    Response.SharedBody_ = Shared_;
+                    return Respond(std::move(Response));
+                  }
                   Respond({200, {}, "served"});
                 }) {
     BOOST_REQUIRE(Server_->listen());
@@ -34,6 +42,7 @@
     Result.Connections_ = 4;
     Result.Waiting_ = 2;
     Result.Budget_ = std::make_shared<InputBudget>(100'000);
+    Result.Buffers_ = {8 * 1024, 8 * 1024};
     Result.OnRefused_ = [this](InputRefusal Why) { Refusals_.push_back(Why); };
     return Result;
   }
@@ -53,7 +62,11 @@
     return Result;
   }
 
+  static constexpr std::size_t Large = 60'000;
+
   asio::io_context Context_{1};
+  std::shared_ptr<const std::string> Shared_ =
+      std::make_shared<const std::string>(4'000'000, 'y');
   std::vector<HttpRespond> Held_;
   std::vector<InputRefusal> Refusals_;
   std::optional<HttpServer> Server_;
@@ -140,3 +153,38 @@
   BOOST_TEST((Refusals_ == std::vector<InputRefusal>{InputRefusal::Trailers}));
   BOOST_TEST(serves());
 }
+
+// Each connection had a copy of a response until its peer had read it.
+BOOST_FIXTURE_TEST_CASE(unread_responses_are_bounded_in_sum, Fixture) {
+  const std::string Request = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+  const auto First = RawPeer::open(Context_, Server_->port(), false);
+  const auto Second = RawPeer::open(Context_, Server_->port(), false);
+  // Fills the buffers of both sockets.
+  for (int I = 0; I < 100; ++I)
+    First->send(Request);
+  runFor(Context_, 100ms);
+  for (int I = 0; I < 100; ++I)
+    Second->send(Request);
+  BOOST_TEST(until([&] { return !Refusals_.empty(); }));
+  BOOST_TEST((Refusals_ == std::vector<InputRefusal>{InputRefusal::Unread}));
+  BOOST_TEST(serves());
+}
+
+// A response that is shared takes no memory of its connection and may be larger
+// than the budget.
+BOOST_FIXTURE_TEST_CASE(shared_responses_are_not_counted, Fixture) {
+  std::vector<std::shared_ptr<RawPeer>> Peers;
+  for (int I = 0; I < 3; ++I) {
+    Peers.push_back(RawPeer::open(Context_, Server_->port(), false));
+    Peers.back()->send("GET /shared HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  runFor(Context_, 100ms);
+  BOOST_TEST(Refusals_.empty());
+  for (const auto &Each : Peers)
+    Each->read();
+  BOOST_TEST(until([&] {
+    return std::all_of(Peers.begin(), Peers.end(), [this](const auto &Each) {
+      return Each->text().size() > Shared_->size();
+    });
+  }));
+}
