Check the shape of a link's message before it is parsed

The MessagePack library builds the whole tree of a message before its fields are checked, at 24 bytes for each element. A message of 4 MiB of nested arrays grew to 100 MB, and the zone kept its memory.

The first byte has to name the expected number of fields, and arrays may be nested twice, as in all messages that are sent. Texts of an order are limited to 4 KiB, because an agent keeps them while the tasks wait; a payload of a caller has up to 4,000 bytes.

--- a/packages/connection/include/wigeonwall/connection/msgpack_codec.h
+++ b/packages/connection/include/wigeonwall/connection/msgpack_codec.h
@@ -19,7 +19,10 @@
 /// Maximum array length, string length and nesting depth of a message.
 inline constexpr std::size_t MaxArrayItems = 16 * 1024;
 inline constexpr std::size_t MaxStringBytes = 4 * 1024 * 1024;
-inline constexpr std::size_t MaxNestingDepth = 8;
+inline constexpr std::size_t MaxNestingDepth = 2;
+/// Messages are arrays of up to 15 fields, whose first byte has the number.
+inline constexpr unsigned char ShortArray = 0x90;
+inline constexpr std::size_t MaxFields = 15;
 
 struct StringBuffer {
   std::string Text_;
@@ -49,10 +52,17 @@
 
 /// \brief Decodes the result of pack(); string views refer to \p Bytes.
 ///
+/// The number of fields is checked before anything is parsed: an array of
+/// arrays takes 24 times its size.
+///
 /// Throws msgpack::unpack_error if the bytes are not a valid message, and
 /// msgpack::type_error if the number or types of the fields differ.
 template <typename... Fields>
 [[nodiscard]] std::tuple<Fields...> unpack(std::string_view Bytes) {
+  static_assert(sizeof...(Fields) <= detail::MaxFields);
+  if (Bytes.empty() || static_cast<unsigned char>(Bytes.front()) !=
+                           (detail::ShortArray | sizeof...(Fields)))
+    throw msgpack::type_error();
   thread_local msgpack::zone Zone;
   Zone.clear();
   std::size_t Used = 0;
--- a/packages/process/src/dispatch/messages.cpp
+++ b/packages/process/src/dispatch/messages.cpp
@@ -33,6 +33,15 @@
 constexpr std::int64_t MaxAmount = 1'000'000'000'000;
 constexpr std::int64_t MaxNumber = std::int64_t{1} << 53;
 
+/// Longest payload, label or name in an order; callers' payloads have up to
+/// 4,000 bytes. An agent keeps them while the tasks wait.
+constexpr std::size_t MaxTextBytes = 4'096;
+
+void requireText(const std::string &Text) {
+  if (Text.size() > MaxTextBytes)
+    throw msgpack::type_error();
+}
+
 /// Throws for a value outside of \p Min to \p Max.
 void requireRange(std::int64_t Value, std::int64_t Min, std::int64_t Max) {
   if (Value < Min || Value > Max)
@@ -196,6 +205,9 @@
     Result.TimeToDeadline_ = fromMicroseconds(TimeToDeadline);
     Result.TimeToExpiry_ = fromMicroseconds(TimeToExpiry);
     Result.MaxWait_ = fromMicroseconds(MaxWait);
+    for (const std::string *Each : {&Result.Job_, &Result.Service_,
+                                    &Result.RequiredLabel_, &Result.Payload_})
+      requireText(*Each);
     requireRange(Result.Needs_, 0);
     requireRange(Expected, 0, MaxTime.count());
     requireRange(Result.AgentClockMs_, 0, MaxNumber);
--- /dev/null
+++ b/tests/integration/untrusted_links_test.cpp
@@ -0,0 +1,71 @@
+/// \file
+/// \brief Clients of an agent's listener that behave like entries: the agent
+/// stays within its memory, and the real entry keeps its link.
+#include "standins/untrusted_fixture.h"
+
+#include "standins/raw_peer.h"
+#include "wigeonwall/connection/msgpack_codec.h"
+#include "wigeonwall/connection/peer_session.h"
+#include "wigeonwall/process/dispatch/messages.h"
+
+#include <csignal>
+
+using namespace std::chrono_literals;
+using namespace wigeonwall::process::dispatch;
+using namespace wigeonwall::standins;
+namespace connection = wigeonwall::connection;
+
+namespace {
+
+constexpr std::size_t Clients = 40;
+constexpr std::size_t BytesPerClient = 2 << 20;
+
+std::string frame(const std::string &Method, const std::string &Params) {
+  return connection::PeerSession().unsequencedFrame(Method, Params);
+}
+
+std::string hello(const std::string &Name) {
+  return frame("hello", encodeHello({Name, Name + "/client"}));
+}
+
+std::string helloOf(std::size_t Client) {
+  return hello("client" + std::to_string(Client));
+}
+
+CrowdScript afterHello(const std::string &Piece, std::size_t Bytes) {
+  CrowdScript Script{"", Piece, Bytes};
+  Script.HeadOf_ = helloOf;
+  return Script;
+}
+
+/// Arrays of arrays, the innermost of \p Items numbers; 4 MB in all.
+std::string nestedMessage() {
+  constexpr std::size_t Items = 250;
+  constexpr std::size_t Arrays = 16'000;
+  connection::detail::StringBuffer Buffer;
+  msgpack::packer<connection::detail::StringBuffer> Packer(Buffer);
+  Packer.pack_array(Arrays);
+  for (std::size_t I = 0; I < Arrays; ++I)
+    Packer.pack(std::vector<int>(Items, 0));
+  const std::string &Body = Buffer.Text_;
+  constexpr std::size_t HeaderBytes = connection::FrameHeaderBytes;
+  std::string Length(HeaderBytes, '\0');
+  for (std::size_t I = 0, Rest = Body.size(); I < HeaderBytes; ++I, Rest >>= 8U)
+    Length[HeaderBytes - 1 - I] = static_cast<char>(Rest & 0xFFU);
+  return Length + Body;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(untrusted_links, UntrustedFixture)
+
+// The elements of a message of 4 MiB took 100 MB when it was parsed.
+BOOST_AUTO_TEST_CASE(nested_messages_do_not_grow) {
+  CrowdScript Script;
+  Script.HeadOf_ = [](std::size_t Client) {
+    return helloOf(Client) + nestedMessage();
+  };
+  checkWithSockets(Listener::AgentPeers, 4, Script);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -36,7 +36,9 @@
           // Strings and arrays that are longer than the message.
           "\x94\xdb\xff\xff\xff\xff", "\xdd\xff\xff\xff\xff",
           // Deeply nested arrays.
-          std::string(100'000, '\x91')};
+          std::string(100'000, '\x91'),
+          // Arrays in the place of a field.
+          "\x94\xa1m\x00\x00\x91\x91\x91\x01"};
 }
 
 } // namespace
@@ -70,6 +72,19 @@
   BOOST_TEST(Read->Tasks_[1].Number_ == 3);
 }
 
+// An agent keeps the texts of an order while its tasks wait.
+BOOST_AUTO_TEST_CASE(texts_of_an_order_have_a_limit) {
+  for (const std::size_t Bytes : {4'096, 4'097})
+    for (std::string RunOrder::*Text :
+         {&RunOrder::Payload_, &RunOrder::RequiredLabel_}) {
+      RunOrder Order;
+      Order.*Text = std::string(Bytes, 'x');
+      MessageFault Fault;
+      BOOST_TEST(decodeOrder(encodeOrder(Order), Fault).has_value() ==
+                 (Bytes == 4'096));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(outcomes_and_reports_round_trip) {
   MessageFault Fault;
   const auto Outcome = decodeOutcome(
