--- a/tests/integration/untrusted_links_test.cpp
+++ b/tests/integration/untrusted_links_test.cpp
@@ -68,4 +68,51 @@
   checkWithSockets(Listener::AgentPeers, 4, Script);
 }
 
+// A hello with the name of an entry, which consisted of its id and the time of
+// its start, ended the session of that entry and its runs.
+BOOST_AUTO_TEST_CASE(a_guessed_name_does_not_end_the_session_of_an_entry) {
+  using std::chrono::system_clock;
+  const auto Before = system_clock::now();
+  Cluster_.startEntry(0);
+  BOOST_REQUIRE(Cluster_.waitReady(5s));
+  const auto After = system_clock::now();
+  const CallerJob Running = [] {
+    CallerJob Job;
+    Job.Id_ = jobId(8, 1);
+    Job.Estimate_ = 2s;
+    Job.Deadline_ = 20s;
+    Job.ClientTimeout_ = 20s;
+    return Job;
+  }();
+  std::size_t Starts = 0;
+  Cluster_.run([&] {
+    Cluster_.minion(0).RunTime_ = 2s;
+    Cluster_.minion(0).OnStart_ = [&](const std::string &Task) {
+      Starts += Task.starts_with(Running.Id_) ? 1 : 0;
+    };
+  });
+  std::promise<int> Status;
+  Cluster_.submit(0, Running, [&Status](const auto &Reply) {
+    Status.set_value(PlatformCluster::statusOf(Reply));
+  });
+  std::this_thread::sleep_for(300ms);
+  asio::io_context Context{1};
+  std::size_t Guesses = 0;
+  for (auto At = std::chrono::floor<std::chrono::milliseconds>(Before);
+       At < After; At += 1ms) {
+    const auto Peer =
+        RawPeer::open(Context, Cluster_.port(Listener::AgentPeers, 0), false);
+    Peer->send(
+        hello("entry0@" + std::to_string(At.time_since_epoch().count())));
+    Peer->endSending();
+    ++Guesses;
+  }
+  BOOST_TEST_MESSAGE("guesses=" << Guesses);
+  BOOST_TEST(Status.get_future().get() == 200);
+  Cluster_.run([&] {
+    BOOST_TEST(Starts == 1u);
+    Cluster_.minion(0).OnStart_ = [](const auto &) {};
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
