Give new connections time for their request at the connection limit

At its limit, a listener closed the connection that had been idle longest for each new one.

http_pressure_test opens 20 connections at a limit of 4 and then sends a request on the first one; without this change it has been closed.

--- a/packages/connection/src/http_session.cpp
+++ b/packages/connection/src/http_session.cpp
@@ -54,15 +54,20 @@
   return Result - Lists_[static_cast<std::size_t>(SessionPhase::Closed)].size();
 }
 
-bool HttpSessions::closeLongestUnused(InputRefusal Why) {
+Room HttpSessions::closeLongestUnused(InputRefusal Why,
+                                      std::chrono::milliseconds MinTime) {
   for (const SessionPhase Phase :
-       {SessionPhase::Lingering, SessionPhase::Idle, SessionPhase::Reading})
-    if (!list(Phase).empty()) {
-      countRefusal(Why);
-      list(Phase).front()->abort();
-      return true;
-    }
-  return false;
+       {SessionPhase::Lingering, SessionPhase::Idle, SessionPhase::Reading}) {
+    if (list(Phase).empty())
+      continue;
+    HttpSession &Longest = *list(Phase).front();
+    if (Phase != SessionPhase::Lingering && Longest.unusedTime() < MinTime)
+      return Room::Later;
+    countRefusal(Why);
+    Longest.abort();
+    return Room::Made;
+  }
+  return Room::None;
 }
 
 HttpSession::HttpSession(Tcp::socket Socket,
@@ -82,6 +87,14 @@
   Phase_ = Next;
 }
 
+std::chrono::steady_clock::duration HttpSession::unusedTime() const {
+  // Both phases begin with a deadline.
+  const HttpLimits &Limits = Server_->Limits_;
+  return Clock::now() - Deadline_ +
+         (Phase_ == SessionPhase::Idle ? Limits.IdleTimeout_
+                                       : Limits.ReadTimeout_);
+}
+
 void HttpSession::setDeadline(std::chrono::milliseconds After) {
   Deadline_ = Clock::now() + After;
   // A wait that ends earlier is repeated when it ends.
--- a/packages/connection/src/http_session.h
+++ b/packages/connection/src/http_session.h
@@ -28,6 +28,15 @@
   Closed,
 };
 
+/// \brief Whether a server at its limit can accept another connection.
+enum class Room : std::uint8_t {
+  Made,
+  /// Connections can be closed soon; they are too new now.
+  Later,
+  /// All connections wait for a response.
+  None,
+};
+
 /// \brief Open sessions of one server, in the order in which they entered their
 /// phase.
 class HttpSessions {
@@ -53,8 +62,10 @@
     return Lists_[static_cast<std::size_t>(SessionPhase::Handling)].size();
   }
   /// \brief Closes the connection that has been lingering, idle or reading
-  /// longest; false if there is none.
-  [[nodiscard]] bool closeLongestUnused(InputRefusal Why);
+  /// longest. Idle and reading ones are kept for \p MinTime, in which the
+  /// request that a client sends when it is connected arrives.
+  [[nodiscard]] Room closeLongestUnused(InputRefusal Why,
+                                        std::chrono::milliseconds MinTime);
   void countRefusal(InputRefusal Why) const {
     if (Limits_.OnRefused_)
       Limits_.OnRefused_(Why);
@@ -91,6 +102,8 @@
   void waitForRequest();
   /// \brief Closes the socket immediately.
   void abort();
+  /// \brief Time for which an idle or reading connection has been so.
+  [[nodiscard]] std::chrono::steady_clock::duration unusedTime() const;
 
 private:
   using Clock = std::chrono::steady_clock;
--- a/tests/unit/http_pressure_test.cpp
+++ b/tests/unit/http_pressure_test.cpp
@@ -154,6 +154,34 @@
   BOOST_TEST(serves());
 }
 
+// New connections replaced others before their request had arrived, so that
+// clients that reopen connections all the time kept callers out.
+BOOST_FIXTURE_TEST_CASE(a_new_connection_has_time_for_its_request, Fixture) {
+  const auto Caller = RawPeer::open(Context_, Server_->port());
+  std::vector<std::shared_ptr<RawPeer>> Others;
+  for (int I = 0; I < 20; ++I)
+    Others.push_back(RawPeer::open(Context_, Server_->port()));
+  runFor(Context_, 10ms);
+  Caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(until([&] { return Caller->count("served") == 1; }));
+  for (const auto &Each : Others)
+    Each->close();
+  BOOST_TEST(serves());
+}
+
+// The connection that waits for room is served as well when the server stops.
+BOOST_FIXTURE_TEST_CASE(a_connection_that_waits_for_room_is_served, Fixture) {
+  std::vector<std::shared_ptr<RawPeer>> Others;
+  for (int I = 0; I < 4; ++I)
+    Others.push_back(RawPeer::open(Context_, Server_->port()));
+  runFor(Context_, 10ms);
+  const auto Caller = RawPeer::open(Context_, Server_->port());
+  Caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  runFor(Context_, 10ms);
+  Server_->stopAccepting();
+  BOOST_TEST(until([&] { return Caller->count("served") == 1; }));
+}
+
 // Each connection had a copy of a response until its peer had read it.
 BOOST_FIXTURE_TEST_CASE(unread_responses_are_bounded_in_sum, Fixture) {
   const std::string Request = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
