Let entries connect although clients hold all links of an agent

Only links without a message were closed for a new one. 256 clients that had sent a hello kept entries out for as long as they stayed, and callers were refused for want of a minion.

OwnerLinks closes a link without tasks: first of those that have never sent a current order, then the one connected longest.

--- a/packages/connection/include/wigeonwall/connection/peer_connection.h
+++ b/packages/connection/include/wigeonwall/connection/peer_connection.h
@@ -66,6 +66,10 @@
   void send(const std::string &Frame);
   void close();
   [[nodiscard]] bool isOpen() const noexcept { return Open_; }
+  /// \brief Time since the connection was accepted.
+  [[nodiscard]] std::chrono::steady_clock::duration age() const {
+    return std::chrono::steady_clock::now() - CreatedAt_;
+  }
   /// \brief Whether a message has been received.
   [[nodiscard]] bool identified() const noexcept { return Identified_; }
   /// \brief Closes the connection because of a limit and reports it as closed.
@@ -90,6 +94,8 @@
   /// True for accepted connections whose first message is still due.
   bool FirstMessageDue_ = false;
   bool Identified_ = false;
+  std::chrono::steady_clock::time_point CreatedAt_ =
+      std::chrono::steady_clock::now();
   Callbacks Callbacks_;
   std::string Input_;
   std::string Outgoing_;
@@ -99,25 +105,36 @@
 };
 
 /// \brief Accepts connections from peers.
+///
+/// At the limit, the oldest connection without a message is closed for a new
+/// one, after a minimum time in which accepting pauses. If all have sent one,
+/// \p CloseUnused closes one of them; it returns false if all are in use, and
+/// then the new connection is closed.
 class PeerListener {
 public:
   PeerListener(asio::io_context &Context, Endpoint Address,
                std::function<void(std::shared_ptr<PeerConnection>)> OnAccept,
-               PeerLimits Limits = {});
+               PeerLimits Limits = {}, std::function<bool()> CloseUnused = {});
   [[nodiscard]] bool listen();
   void close();
 
 private:
   void accept();
-  void serve(asio::ip::tcp::socket Socket);
-  /// Closes the oldest connection without a message; false if there is none.
-  [[nodiscard]] bool closeUnidentified(InputRefusal Why);
+  void serveNext();
+  /// Returns false if there will be room for the connection soon.
+  [[nodiscard]] bool serve(asio::ip::tcp::socket &Socket);
+  void removeClosed();
+  /// Returns the oldest connection without a message, or null.
+  [[nodiscard]] std::shared_ptr<PeerConnection> oldestUnidentified() const;
 
   Endpoint Address_;
   asio::ip::tcp::acceptor Acceptor_;
   asio::steady_timer RetryTimer_;
+  /// Accepted connection that there is no room for yet.
+  std::optional<asio::ip::tcp::socket> Next_;
   std::function<void(std::shared_ptr<PeerConnection>)> OnAccept_;
   PeerLimits Limits_;
+  std::function<bool()> CloseUnused_;
   /// Oldest first; closed connections are removed when the limit is reached.
   std::list<std::weak_ptr<PeerConnection>> Accepted_;
 };
--- a/packages/connection/src/peer_connection.cpp
+++ b/packages/connection/src/peer_connection.cpp
@@ -21,6 +21,11 @@
 /// session heartbeats detect an unresponsive peer earlier.
 constexpr int UserTimeoutMs = 2'000;
 
+/// At the limit of connections, the time that each has for its first message
+/// before it is closed for a new one, and the period at which this is checked.
+constexpr std::chrono::milliseconds MinSilentTime{50};
+constexpr std::chrono::milliseconds RoomCheckPeriod{5};
+
 void setSocketOptions(Tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -215,9 +220,10 @@
 PeerListener::PeerListener(
     asio::io_context &Context, Endpoint Address,
     std::function<void(std::shared_ptr<PeerConnection>)> OnAccept,
-    PeerLimits Limits)
+    PeerLimits Limits, std::function<bool()> CloseUnused)
     : Address_(std::move(Address)), Acceptor_(Context), RetryTimer_(Context),
-      OnAccept_(std::move(OnAccept)), Limits_(std::move(Limits)) {}
+      OnAccept_(std::move(OnAccept)), Limits_(std::move(Limits)),
+      CloseUnused_(std::move(CloseUnused)) {}
 
 bool PeerListener::listen() {
   if (!detail::openAcceptor(Acceptor_, Address_, false, Limits_.Buffers_))
@@ -231,11 +237,12 @@
     if (Error == asio::error::operation_aborted)
       return;
     if (!Error) {
-      serve(std::move(Socket));
-      return accept();
+      Next_ = std::move(Socket);
+      return serveNext();
     }
     if (Error == asio::error::no_descriptors)
-      (void)closeUnidentified(InputRefusal::Descriptors);
+      if (const auto Oldest = oldestUnidentified())
+        Oldest->refuse(InputRefusal::Descriptors, "no free descriptor");
     RetryTimer_.expires_after(detail::AcceptRetryDelay);
     RetryTimer_.async_wait([this](auto Cancelled) {
       if (!Cancelled)
@@ -244,40 +251,62 @@
   });
 }
 
-void PeerListener::serve(Tcp::socket Socket) {
+void PeerListener::serveNext() {
+  if (!Next_)
+    return;
+  if (serve(*Next_)) {
+    Next_.reset();
+    return accept();
+  }
+  RetryTimer_.expires_after(RoomCheckPeriod);
+  RetryTimer_.async_wait([this](auto Cancelled) {
+    if (!Cancelled)
+      serveNext();
+  });
+}
+
+bool PeerListener::serve(Tcp::socket &Socket) {
+  if (Accepted_.size() >= Limits_.Connections_)
+    removeClosed();
   if (Accepted_.size() >= Limits_.Connections_) {
-    Accepted_.remove_if([](const auto &Each) {
-      const auto Connection = Each.lock();
-      return !Connection || !Connection->isOpen();
-    });
-    if (Accepted_.size() >= Limits_.Connections_ &&
-        !closeUnidentified(InputRefusal::Connections)) {
-      if (Limits_.OnRefused_)
-        Limits_.OnRefused_(InputRefusal::Connections);
-      return;
-    }
+    const auto Oldest = oldestUnidentified();
+    if (Oldest && Oldest->age() < MinSilentTime)
+      return false;
+    if (Oldest)
+      Oldest->refuse(InputRefusal::Connections, "room for another connection");
+    else if (Limits_.OnRefused_)
+      Limits_.OnRefused_(InputRefusal::Connections);
+    if (!Oldest && !(CloseUnused_ && CloseUnused_()))
+      return true;
+    removeClosed();
   }
   auto Accepted = std::make_shared<PeerConnection>(std::move(Socket), Limits_);
   Accepted_.push_back(Accepted);
   OnAccept_(Accepted);
+  return true;
 }
 
-bool PeerListener::closeUnidentified(InputRefusal Why) {
-  for (auto Each = Accepted_.begin(); Each != Accepted_.end(); ++Each) {
-    const auto Connection = Each->lock();
-    if (!Connection || !Connection->isOpen() || Connection->identified())
-      continue;
-    Connection->refuse(Why, "room for another connection");
-    Accepted_.erase(Each);
-    return true;
+void PeerListener::removeClosed() {
+  Accepted_.remove_if([](const auto &Each) {
+    const auto Connection = Each.lock();
+    return !Connection || !Connection->isOpen();
+  });
+}
+
+std::shared_ptr<PeerConnection> PeerListener::oldestUnidentified() const {
+  for (const auto &Each : Accepted_) {
+    auto Connection = Each.lock();
+    if (Connection && Connection->isOpen() && !Connection->identified())
+      return Connection;
   }
-  return false;
+  return nullptr;
 }
 
 void PeerListener::close() {
   boost::system::error_code Ignored;
   Acceptor_.close(Ignored);
   RetryTimer_.cancel();
+  Next_.reset();
 }
 
 } // namespace wigeonwall::connection
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -86,6 +86,9 @@
     /// Time of the last report that the entry is known to have received.
     request::TimePoint ConfirmedAt_;
     request::TimePoint LastSentAt_;
+    request::TimePoint ConnectedAt_;
+    /// The entry has sent an order that was based on a current report.
+    bool HasOrdered_ = false;
     /// Number of ordered tasks without an outcome.
     std::size_t OpenTasks_ = 0;
     /// Revision of the last full report that was sent.
@@ -104,6 +107,9 @@
   void onHello(const Link &Accepted, const EntryHello &Hello);
   void onMessage(const std::string &Name, connection::PeerMessage Message);
   void remove(const std::string &Name, const std::string &Reason);
+  /// Closes the link of an entry without tasks: first of those that have never
+  /// sent an order, then the one connected longest. False if all have tasks.
+  [[nodiscard]] bool closeUnused();
   void onOrder(const std::string &Name, Owner &Entry, const RunOrder &Order);
   /// Records that the entry has received the report of \p AgentClockMs.
   void confirm(Owner &Entry, std::int64_t AgentClockMs) const;
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -1,6 +1,7 @@
 #include "wigeonwall/process/dispatch/owner_links.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace wigeonwall::process::dispatch {
 
@@ -34,7 +35,7 @@
       Listener_(
           Context, std::move(Address),
           [this](const Link &Accepted) { onAccept(Accepted); },
-          std::move(Limits)),
+          std::move(Limits), [this] { return closeUnused(); }),
       ReportTimer_(Context) {}
 
 void OwnerLinks::onAccept(const Link &Accepted) {
@@ -86,7 +87,7 @@
   Entry.SessionId_ = SessionId;
   Entry.Link_ = Accepted;
   Entry.SentRevision_ = 0;
-  Entry.LastReceivedAt_ = Hooks_.Now_();
+  Entry.LastReceivedAt_ = Entry.ConnectedAt_ = Hooks_.Now_();
   Hooks_.Log_(Name, "entry_connected",
               Resumed ? "session=resumed" : "session=new");
   Accepted->send(
@@ -143,6 +144,7 @@
   // A clock ahead of the agent's own was not read from any of its reports.
   if (Age >= Age.zero() && Age <= Timing_.OwnerTimeout_) {
     confirm(Entry, Order.AgentClockMs_);
+    Entry.HasOrdered_ = true;
     return Hooks_.OnOrder_(Name, Order);
   }
   Hooks_.Log_(Name, "order_declined",
@@ -177,6 +179,23 @@
   Hooks_.OnOwnerLost_(Name);
 }
 
+bool OwnerLinks::closeUnused() {
+  auto Chosen = Owners_.end();
+  for (auto Each = Owners_.begin(); Each != Owners_.end(); ++Each) {
+    const Owner &Entry = Each->second;
+    if (!Entry.Link_ || Entry.OpenTasks_ > 0)
+      continue;
+    if (Chosen == Owners_.end() ||
+        std::tie(Entry.HasOrdered_, Entry.ConnectedAt_) <
+            std::tie(Chosen->second.HasOrdered_, Chosen->second.ConnectedAt_))
+      Chosen = Each;
+  }
+  if (Chosen == Owners_.end())
+    return false;
+  remove(std::string(Chosen->first), "room for another connection");
+  return true;
+}
+
 void OwnerLinks::sendOutcome(const std::string &Name,
                              const RunOutcome &Outcome) {
   const auto Known = Owners_.find(Name);
--- a/tests/integration/untrusted_links_test.cpp
+++ b/tests/integration/untrusted_links_test.cpp
@@ -68,6 +68,23 @@
   checkWithSockets(Listener::AgentPeers, 4, Script);
 }
 
+// Links that had sent a hello were never closed to make room for another, so
+// that an entry could not connect.
+BOOST_AUTO_TEST_CASE(idle_links_do_not_keep_entries_out) {
+  // Leaves its place to the clients.
+  Cluster_.entry(0).signal(SIGKILL);
+  BOOST_REQUIRE(Cluster_.entry(0).waitExit(2s).has_value());
+  CrowdScript Script;
+  Script.HeadOf_ = helloOf;
+  ClientCrowd Crowd(Cluster_.port(Listener::AgentPeers, 0), 400, Script);
+  Crowd.run(SendTime, 200ms, [] {});
+  Cluster_.startEntry(0);
+  BOOST_TEST(Cluster_.waitReady(5s));
+  BOOST_TEST(serves());
+  BOOST_TEST(Cluster_.agent(0).running());
+  BOOST_TEST(openDescriptors(Cluster_.agent(0).id()) < MaxDescriptors);
+}
+
 // A hello with the name of an entry, which consisted of its id and the time of
 // its start, ended the session of that entry and its runs.
 BOOST_AUTO_TEST_CASE(a_guessed_name_does_not_end_the_session_of_an_entry) {
--- a/tests/unit/dispatch_links_test.cpp
+++ b/tests/unit/dispatch_links_test.cpp
@@ -44,6 +44,7 @@
   /// If false, the agent keeps the tasks that it is ordered to run.
   bool EndsTasks_ = true;
   std::vector<RunOutcome> LastOutcomes_;
+  connection::PeerLimits Limits_;
   std::unique_ptr<OwnerLinks> Agent_ = makeAgent();
   std::unique_ptr<AgentLinks> Entry_ = makeEntry("entry@1");
 
@@ -76,8 +77,8 @@
     };
     Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
     auto Result = std::make_unique<OwnerLinks>(
-        Context_, connection::Endpoint{"127.0.0.1", Port}, shortTiming(),
-        Hooks);
+        Context_, connection::Endpoint{"127.0.0.1", Port}, shortTiming(), Hooks,
+        Limits_);
     BOOST_REQUIRE(Result->listen());
     return Result;
   }
@@ -312,6 +313,30 @@
   BOOST_TEST(Peer->count("stale_order") == 1u);
 }
 
+// Clients that had sent a hello kept entries out for as long as they stayed.
+BOOST_AUTO_TEST_CASE(an_entry_takes_the_place_of_an_unused_link) {
+  Entry_.reset();
+  Limits_.Connections_ = 3;
+  Agent_.reset();
+  Agent_ = makeAgent();
+  Entry_ = makeEntry("entry@1");
+  EndsTasks_ = false;
+  run(100ms);
+  order("a");
+  run(20ms);
+  std::vector<std::shared_ptr<standins::RawPeer>> Peers;
+  for (int I = 0; I < 3; ++I) {
+    Peers.push_back(standins::RawPeer::open(Context_, Port));
+    Peers.back()->send(connection::PeerSession().unsequencedFrame(
+        "hello", encodeHello({"client" + std::to_string(I), "1"})));
+    run(20ms);
+  }
+  BOOST_TEST(Peers[0]->closed());
+  BOOST_TEST(!Peers[2]->closed());
+  BOOST_TEST(Entry_->connectedCount() == 1u);
+  BOOST_TEST((LostOwners_ == std::vector<std::string>{"client0"}));
+}
+
 // An agent has one session with an entry. Two names for its address replaced
 // each other's sessions, and the runs were ended each time.
 BOOST_AUTO_TEST_CASE(a_second_name_for_an_address_is_ignored) {
--- a/tests/unit/peer_limits_test.cpp
+++ b/tests/unit/peer_limits_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -23,7 +24,8 @@
   Fixture()
       : Listener_(
             Context_, {"127.0.0.1", Port},
-            [this](const auto &Link) { start(Link); }, limits()) {
+            [this](const auto &Link) { start(Link); }, limits(),
+            [this] { return closeUnused(); }) {
     BOOST_REQUIRE(Listener_.listen());
   }
   ~Fixture() { Listener_.close(); }
@@ -34,6 +36,7 @@
     Result.ReadTimeout_ = ReadTimeout;
     Result.Connections_ = 3;
     Result.Budget_ = Budget_;
+    Result.Buffers_ = {8 * 1024, 8 * 1024};
     Result.OnRefused_ = [this](InputRefusal Why) { Refusals_.push_back(Why); };
     return Result;
   }
@@ -41,6 +44,13 @@
     PeerConnection::Callbacks Callbacks;
     Callbacks.OnMessage_ = [this](const PeerMessage &) { ++Messages_; };
     Link->start(std::move(Callbacks));
+    Links_.push_back(Link);
+  }
+  bool closeUnused() {
+    if (!Unused_)
+      return false;
+    std::exchange(Unused_, nullptr)->close();
+    return true;
   }
   std::shared_ptr<RawPeer> open() { return RawPeer::open(Context_, Port); }
   std::shared_ptr<RawPeer> openIdentified() {
@@ -65,6 +75,9 @@
   std::shared_ptr<InputBudget> Budget_ = std::make_shared<InputBudget>(400'000);
   std::vector<InputRefusal> Refusals_;
   std::size_t Messages_ = 0;
+  std::vector<std::shared_ptr<PeerConnection>> Links_;
+  /// Closed when there is no other room.
+  std::shared_ptr<PeerConnection> Unused_;
   PeerListener Listener_;
 };
 
@@ -130,3 +143,29 @@
   BOOST_TEST(!First->closed());
   BOOST_TEST(!Third->closed());
 }
+
+// Links that had sent a message were never closed, so that some clients kept
+// all entries out.
+BOOST_FIXTURE_TEST_CASE(an_unused_link_makes_room, Fixture) {
+  const auto First = openIdentified();
+  const auto Second = openIdentified();
+  const auto Third = openIdentified();
+  Unused_ = Links_.at(1);
+  const auto Fourth = openIdentified();
+  BOOST_TEST(until([&] { return Second->closed(); }));
+  BOOST_TEST(!First->closed());
+  BOOST_TEST(!Third->closed());
+  BOOST_TEST(!Fourth->closed());
+}
+
+// New links replaced others before their hello had arrived.
+BOOST_FIXTURE_TEST_CASE(a_new_link_has_time_for_its_first_message, Fixture) {
+  const auto Entry = open();
+  std::vector<std::shared_ptr<RawPeer>> Others;
+  for (int I = 0; I < 20; ++I)
+    Others.push_back(open());
+  runFor(Context_, 10ms);
+  Entry->send(message(10));
+  BOOST_TEST(until([&] { return Messages_ == 1; }));
+  BOOST_TEST(!Entry->closed());
+}
