Bound the output that peers of links do not read, in sum

Each link could have 16 MiB of unsent output, and outcomes were kept without a limit until the peer had confirmed them. A client that sends queries and orders and does not read made an agent run out of memory.

Unsent output and unconfirmed outcomes above 64 KiB count towards the budget of the traffic thread. With it used up, the largest goes first: its link is closed, or its session ended. An entry reads, and confirms outcomes at least every 200 ms while it has tasks, so that it has far less.

--- a/packages/connection/include/wigeonwall/connection/peer_connection.h
+++ b/packages/connection/include/wigeonwall/connection/peer_connection.h
@@ -34,8 +34,8 @@
   /// Accepted connections of a listener.
   std::size_t Connections_ = 1'024;
   SocketBuffers Buffers_ = {};
-  /// Bytes of unfinished messages, shared with the servers of the event loop;
-  /// no limit without it.
+  /// Bytes of unfinished messages and unsent output, shared with the servers of
+  /// the event loop; no limit without it.
   std::shared_ptr<InputBudget> Budget_ = {};
   CountInputRefusal OnRefused_ = {};
 };
@@ -53,10 +53,11 @@
 
   explicit PeerConnection(asio::io_context &Context, PeerLimits Limits = {})
       : Socket_(Context), Limits_(std::move(Limits)), Account_(Limits_.Budget_),
-        ReadTimer_(Context) {}
+        Unsent_(Limits_.Budget_), ReadTimer_(Context) {}
   explicit PeerConnection(asio::ip::tcp::socket Socket, PeerLimits Limits = {})
       : Socket_(std::move(Socket)), Limits_(std::move(Limits)),
-        Account_(Limits_.Budget_), ReadTimer_(Socket_.get_executor()) {}
+        Account_(Limits_.Budget_), Unsent_(Limits_.Budget_),
+        ReadTimer_(Socket_.get_executor()) {}
 
   void connect(const Endpoint &Peer, Callbacks Handlers);
   /// \brief Starts reading from an accepted connection.
@@ -85,10 +86,13 @@
   /// Starts or stops the time limit of an unfinished message.
   void setReadDeadline(bool Unfinished);
   [[nodiscard]] bool holdInput();
+  /// Counts large unsent output; false if the budget has ended the connection.
+  [[nodiscard]] bool holdOutput();
 
   asio::ip::tcp::socket Socket_;
   PeerLimits Limits_;
   InputAccount Account_;
+  InputAccount Unsent_;
   asio::steady_timer ReadTimer_;
   bool ReadTimerRuns_ = false;
   /// True for accepted connections whose first message is still due.
--- a/packages/connection/include/wigeonwall/connection/peer_session.h
+++ b/packages/connection/include/wigeonwall/connection/peer_session.h
@@ -50,6 +50,10 @@
   [[nodiscard]] bool accept(const PeerMessage &Message);
   /// \brief Returns the frames to resend after a reconnect.
   [[nodiscard]] std::vector<std::string> unacknowledgedFrames() const;
+  /// \brief Estimated memory of the messages that are kept for resending.
+  [[nodiscard]] std::size_t unacknowledgedBytes() const noexcept {
+    return UnacknowledgedBytes_;
+  }
   [[nodiscard]] std::uint64_t lastSent() const noexcept { return LastSent_; }
   [[nodiscard]] std::uint64_t received() const noexcept { return Received_; }
 
@@ -58,6 +62,9 @@
     std::uint64_t Sequence_;
     std::string Method_;
     std::string Params_;
+    [[nodiscard]] std::size_t bytes() const noexcept {
+      return sizeof(SentMessage) + Method_.size() + Params_.size();
+    }
   };
   [[nodiscard]] std::string encodeFrame(std::uint64_t Sequence,
                                         const std::string &Method,
@@ -66,6 +73,7 @@
   std::uint64_t LastSent_ = 0;
   std::uint64_t Received_ = 0;
   std::deque<SentMessage> Unacknowledged_;
+  std::size_t UnacknowledgedBytes_ = 0;
 };
 
 } // namespace wigeonwall::connection
--- a/packages/connection/src/peer_connection.cpp
+++ b/packages/connection/src/peer_connection.cpp
@@ -14,6 +14,8 @@
 
 /// A connection with more unsent bytes is closed, since the peer does not read.
 constexpr std::size_t MaxOutgoingBytes = 16 * 1024 * 1024;
+/// A peer that reads its messages has less unsent output than this.
+constexpr std::size_t FreeOutgoingBytes = 64 * 1024;
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
 /// Buffers without content that are larger than this are released.
 constexpr std::size_t KeptBufferBytes = 16 * 1024;
@@ -169,7 +171,7 @@
   if (Outgoing_.size() > MaxOutgoingBytes)
     return fail("too many unsent bytes: the peer does not read");
   Outgoing_ += Frame;
-  if (FlushPosted_ || !Writing_.empty())
+  if (!holdOutput() || FlushPosted_ || !Writing_.empty())
     return;
   FlushPosted_ = true;
   asio::post(Socket_.get_executor(), [Self = shared_from_this()] {
@@ -178,6 +180,18 @@
   });
 }
 
+bool PeerConnection::holdOutput() {
+  const std::size_t Bytes = Outgoing_.capacity() + Writing_.capacity();
+  if (Bytes <= FreeOutgoingBytes) {
+    Unsent_.release();
+    return true;
+  }
+  return Unsent_.hold(Bytes, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->refuse(InputRefusal::Unread, "too many unsent bytes in sum");
+  });
+}
+
 void PeerConnection::flush() {
   if (!Open_ || !Writing_.empty() || Outgoing_.empty())
     return;
@@ -191,7 +205,8 @@
                         return;
                       if (Error)
                         return Self->fail(Error.message());
-                      Self->flush();
+                      if (Self->holdOutput())
+                        Self->flush();
                     });
 }
 
@@ -208,6 +223,8 @@
 void PeerConnection::close() {
   Open_ = false;
   Account_.release();
+  Unsent_.release();
+  Outgoing_ = std::string();
   ReadTimerRuns_ = false;
   ReadTimer_.cancel();
   boost::system::error_code Ignored;
--- a/packages/connection/src/peer_session.cpp
+++ b/packages/connection/src/peer_session.cpp
@@ -48,6 +48,7 @@
                                         const std::string &Params) {
   ++LastSent_;
   Unacknowledged_.push_back({LastSent_, Method, Params});
+  UnacknowledgedBytes_ += Unacknowledged_.back().bytes();
   return encodeFrame(LastSent_, Method, Params);
 }
 
@@ -58,8 +59,10 @@
 
 bool PeerSession::accept(const PeerMessage &Message) {
   while (!Unacknowledged_.empty() &&
-         Unacknowledged_.front().Sequence_ <= Message.Acknowledged_)
+         Unacknowledged_.front().Sequence_ <= Message.Acknowledged_) {
+    UnacknowledgedBytes_ -= Unacknowledged_.front().bytes();
     Unacknowledged_.pop_front();
+  }
   if (Message.Sequence_ == 0)
     return true;
   if (Message.Sequence_ != Received_ + 1)
--- a/packages/process/include/wigeonwall/process/dispatch/owner_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/owner_links.h
@@ -79,6 +79,9 @@
   using Link = std::shared_ptr<connection::PeerConnection>;
 
   struct Owner {
+    explicit Owner(std::shared_ptr<connection::InputBudget> Budget)
+        : Unconfirmed_(std::move(Budget)) {}
+
     std::string SessionId_;
     Link Link_;
     connection::PeerSession Session_;
@@ -91,6 +94,8 @@
     bool HasOrdered_ = false;
     /// Number of ordered tasks without an outcome.
     std::size_t OpenTasks_ = 0;
+    /// Outcomes that the entry has not confirmed.
+    connection::InputAccount Unconfirmed_;
     /// Revision of the last full report that was sent.
     std::uint64_t SentRevision_ = 0;
     /// The entry has asked for profiles.
@@ -111,6 +116,8 @@
   /// sent an order, then the one connected longest. False if all have tasks.
   [[nodiscard]] bool closeUnused();
   void onOrder(const std::string &Name, Owner &Entry, const RunOrder &Order);
+  /// Counts the outcomes that the entry has not confirmed, if they are many.
+  void holdUnconfirmed(const std::string &Name, Owner &Entry);
   /// Records that the entry has received the report of \p AgentClockMs.
   void confirm(Owner &Entry, std::int64_t AgentClockMs) const;
   void sendReports();
@@ -125,6 +132,7 @@
 
   LinkTiming Timing_;
   OwnerLinksHooks Hooks_;
+  std::shared_ptr<connection::InputBudget> Budget_;
   connection::PeerListener Listener_;
   connection::asio::steady_timer ReportTimer_;
   bool ReportScheduled_ = false;
--- a/packages/process/src/dispatch/owner_links.cpp
+++ b/packages/process/src/dispatch/owner_links.cpp
@@ -18,6 +18,8 @@
 /// about the run time of a short task. Below it, figures of all agents give
 /// better places under overload than answers of a sample.
 constexpr Duration MaxReportPeriod = std::chrono::milliseconds(60);
+/// An entry confirms outcomes at least every 200 ms while it has tasks.
+constexpr std::size_t FreeUnconfirmedBytes = 64 * 1024;
 
 } // namespace
 
@@ -31,7 +33,7 @@
 OwnerLinks::OwnerLinks(connection::asio::io_context &Context,
                        connection::Endpoint Address, LinkTiming Timing,
                        OwnerLinksHooks Hooks, connection::PeerLimits Limits)
-    : Timing_(Timing), Hooks_(std::move(Hooks)),
+    : Timing_(Timing), Hooks_(std::move(Hooks)), Budget_(Limits.Budget_),
       Listener_(
           Context, std::move(Address),
           [this](const Link &Accepted) { onAccept(Accepted); },
@@ -81,7 +83,7 @@
       Known != Owners_.end() && Known->second.SessionId_ == SessionId;
   if (Known != Owners_.end() && !Resumed)
     remove(Name, "new session");
-  Owner &Entry = Owners_[Name];
+  Owner &Entry = Owners_.try_emplace(Name, Budget_).first->second;
   if (Entry.Link_)
     Entry.Link_->close();
   Entry.SessionId_ = SessionId;
@@ -101,9 +103,11 @@
 
 void OwnerLinks::onMessage(const std::string &Name,
                            connection::PeerMessage Message) {
-  Owner &Entry = Owners_[Name];
+  Owner &Entry = Owners_.at(Name);
   Entry.LastReceivedAt_ = Hooks_.Now_();
-  if (!Entry.Session_.accept(Message))
+  const bool Accepted = Entry.Session_.accept(Message);
+  holdUnconfirmed(Name, Entry);
+  if (!Accepted)
     return;
   if (Message.Method_ == "query") {
     Entry.WantsProfiles_ =
@@ -216,6 +220,22 @@
   Known->second.LastSentAt_ = Hooks_.Now_();
   if (Known->second.Link_)
     Known->second.Link_->send(Frame);
+  holdUnconfirmed(Name, Known->second);
+}
+
+void OwnerLinks::holdUnconfirmed(const std::string &Name, Owner &Entry) {
+  const std::size_t Bytes = Entry.Session_.unacknowledgedBytes();
+  if (Bytes <= FreeUnconfirmedBytes)
+    return Entry.Unconfirmed_.release();
+  // The owner is removed later, because its runs may be in use here.
+  const auto OnEvicted = [this, Name, Session = Entry.SessionId_] {
+    connection::asio::post(ReportTimer_.get_executor(), [this, Name, Session] {
+      const auto Known = Owners_.find(Name);
+      if (Known != Owners_.end() && Known->second.SessionId_ == Session)
+        remove(Name, "too many unconfirmed outcomes");
+    });
+  };
+  (void)Entry.Unconfirmed_.hold(Bytes, OnEvicted);
 }
 
 std::optional<TimePoint>
--- a/tests/integration/untrusted_links_test.cpp
+++ b/tests/integration/untrusted_links_test.cpp
@@ -59,6 +59,12 @@
 
 BOOST_FIXTURE_TEST_SUITE(untrusted_links, UntrustedFixture)
 
+// Each link could have 16 MiB of reports that its peer did not read.
+BOOST_AUTO_TEST_CASE(unsent_reports_are_bounded_in_sum) {
+  checkWithSockets(Listener::AgentPeers, Clients,
+                   afterHello(frame("query", encodeQuery()), BytesPerClient));
+}
+
 // The elements of a message of 4 MiB took 100 MB when it was parsed.
 BOOST_AUTO_TEST_CASE(nested_messages_do_not_grow) {
   CrowdScript Script;
@@ -68,6 +74,18 @@
   checkWithSockets(Listener::AgentPeers, 4, Script);
 }
 
+// Outcomes were kept until the peer confirmed them.
+BOOST_AUTO_TEST_CASE(unconfirmed_outcomes_are_bounded) {
+  RunOrder Order;
+  Order.Job_ = jobId(8, 1);
+  Order.Service_ = "permit-desk";
+  for (std::uint32_t I = 0; I < 1'000; ++I)
+    Order.Tasks_.push_back({I, 1});
+  checkWithSockets(
+      Listener::AgentPeers, Clients,
+      afterHello(frame("order", encodeOrder(Order)), BytesPerClient / 4));
+}
+
 // Links that had sent a hello were never closed to make room for another, so
 // that an entry could not connect.
 BOOST_AUTO_TEST_CASE(idle_links_do_not_keep_entries_out) {
--- a/tests/unit/dispatch_links_test.cpp
+++ b/tests/unit/dispatch_links_test.cpp
@@ -313,6 +313,30 @@
   BOOST_TEST(Peer->count("stale_order") == 1u);
 }
 
+// A peer that does not confirm outcomes had an unlimited number of them kept.
+BOOST_AUTO_TEST_CASE(unconfirmed_outcomes_end_a_session) {
+  Entry_.reset();
+  Limits_.Budget_ = std::make_shared<connection::InputBudget>(200'000);
+  Agent_.reset();
+  Agent_ = makeAgent();
+  const auto Peer = standins::RawPeer::open(Context_, Port);
+  connection::PeerSession Session;
+  Peer->send(Session.unsequencedFrame("hello", encodeHello({"many", "1"})));
+  RunOrder Order;
+  Order.Job_ = "a";
+  for (std::uint32_t I = 0; I < 1'000; ++I)
+    Order.Tasks_.push_back({I, 1});
+  for (int I = 0; I < 10 && !Peer->closed(); ++I) {
+    // Without a report, the clock of the order is too old.
+    Peer->send(Session.unsequencedFrame("order", encodeOrder(Order)));
+    run(20ms);
+  }
+  BOOST_TEST((LostOwners_ == std::vector<std::string>{"many"}));
+  run(20ms);
+  BOOST_TEST(Peer->closed());
+  BOOST_TEST(Limits_.Budget_->usedBytes() == 0u);
+}
+
 // Clients that had sent a hello kept entries out for as long as they stayed.
 BOOST_AUTO_TEST_CASE(an_entry_takes_the_place_of_an_unused_link) {
   Entry_.reset();
--- a/tests/unit/peer_limits_test.cpp
+++ b/tests/unit/peer_limits_test.cpp
@@ -169,3 +169,23 @@
   BOOST_TEST(until([&] { return Messages_ == 1; }));
   BOOST_TEST(!Entry->closed());
 }
+
+// Output that peers do not read had a limit for each link alone.
+BOOST_FIXTURE_TEST_CASE(unsent_output_is_bounded_in_sum, Fixture) {
+  constexpr std::size_t Frames = 3'000;
+  std::vector<std::shared_ptr<RawPeer>> Peers;
+  for (int I = 0; I < 2; ++I) {
+    Peers.push_back(RawPeer::open(Context_, Port, false));
+    Peers.back()->send(message(10));
+  }
+  BOOST_REQUIRE(until([&] { return Messages_ == 2; }));
+  for (std::size_t I = 0; I < Frames && Refusals_.empty(); ++I)
+    for (const auto &Each : Links_) {
+      Each->send(message(5'000));
+      runFor(Context_, 1ms);
+    }
+  checkRefusal(InputRefusal::Unread);
+  BOOST_TEST(std::count_if(Links_.begin(), Links_.end(), [](const auto &Each) {
+               return Each->isOpen();
+             }) == 1);
+}
