Limit the polls of reported minions that have no reply

An agent polls each address that a report names, before it trusts the report. Each poll has a connection until it is answered or times out, also when its candidate has been replaced, so that reports of many addresses used up the descriptors.

At most 16 polls may be without a reply; a candidate that was not polled is polled by a later tick.

--- a/packages/process/include/wigeonwall/process/dispatch/minion_candidates.h
+++ b/packages/process/include/wigeonwall/process/dispatch/minion_candidates.h
@@ -17,6 +17,9 @@
   request::Duration PollPeriod_ = std::chrono::milliseconds(60);
   /// Maximum number of processes that are verified at the same time.
   std::size_t MaxCount_ = 4;
+  /// Maximum number of polls without a reply, also of processes that are no
+  /// longer verified; each may have a connection.
+  std::size_t MaxPendingPolls_ = 16;
 };
 
 /// \brief The answer of a candidate to a poll.
@@ -72,6 +75,7 @@
     detail::FencingToken Token_;
   };
 
+  /// Sends a poll; tick() repeats it if too many have no reply.
   void poll(Candidate &Polled);
   void onReply(const request::MinionIncarnation &Incarnation, HoldReply Reply,
                request::TimePoint SentAt);
@@ -80,6 +84,7 @@
   MinionCandidatesOptions Options_;
   MinionCandidatesHooks Hooks_;
   std::map<request::MinionIncarnation, Candidate> Candidates_;
+  std::size_t PendingPolls_ = 0;
 };
 
 } // namespace wigeonwall::process::dispatch
--- a/packages/process/src/dispatch/minion_candidates.cpp
+++ b/packages/process/src/dispatch/minion_candidates.cpp
@@ -20,8 +20,9 @@
 }
 
 void MinionCandidates::poll(Candidate &Polled) {
-  if (Polled.PollPending_)
+  if (Polled.PollPending_ || PendingPolls_ >= Options_.MaxPendingPolls_)
     return;
+  ++PendingPolls_;
   Polled.PollPending_ = true;
   Polled.RuledOut_ = false;
   Polled.Token_.Value_ = std::max(Polled.Token_.Value_, Hooks_.NextToken_());
@@ -38,6 +39,7 @@
 
 void MinionCandidates::onReply(const request::MinionIncarnation &Incarnation,
                                HoldReply Reply, TimePoint SentAt) {
+  --PendingPolls_;
   const auto Found = Candidates_.find(Incarnation);
   if (Found == Candidates_.end())
     return;
--- a/tests/integration/untrusted_jobs_test.cpp
+++ b/tests/integration/untrusted_jobs_test.cpp
@@ -37,6 +37,33 @@
       {wholeRequest("/api/instances/m", nestedArrays(256 * 1024)), "", 0});
 }
 
+// The agent polled each address that a report named, and kept the connection
+// for as long as it had no answer.
+BOOST_AUTO_TEST_CASE(reports_of_many_addresses_leave_descriptors_free) {
+  namespace asio = wigeonwall::connection::asio;
+  asio::io_context Context{1};
+  // Accepts no connection, so that no poll is answered.
+  asio::ip::tcp::acceptor Silent(Context, {asio::ip::address_v4::any(), 0},
+                                 false);
+  const std::string Port = std::to_string(Silent.local_endpoint().port());
+  CrowdScript Script;
+  Script.HeadOf_ = [&Port](std::size_t Client) {
+    std::string Text;
+    for (int I = 1; I <= 250; ++I) {
+      const std::string Address = "127.1." + std::to_string(Client + 1) + "." +
+                                  std::to_string(I) + ":" + Port;
+      Text += wholeRequest(
+          "/api/instances/m" + std::to_string(Client) + "-" + std::to_string(I),
+          R"({"service":"permit-desk","address":")" + Address +
+              R"(","zone":"z","state":"ready","capacity":{"cpu":1000,)"
+              R"("ram_mb":100},"labels":[],"clock_ms":1,"sequence":1,)"
+              R"("born":1})");
+    }
+    return Text;
+  };
+  checkWithSockets(Listener::Reports, 60, Script);
+}
+
 BOOST_AUTO_TEST_CASE(explained_jobs_of_many_values_do_not_grow) {
   checkWithSockets(Listener::EntryPeers, 60,
                    {wholeRequest("/explain", nestedArrays(64 * 1024)), "", 0});
--- a/tests/unit/run_agent_test.cpp
+++ b/tests/unit/run_agent_test.cpp
@@ -793,6 +793,33 @@
     BOOST_TEST(Outcome.Reason_ == "queue_full");
 }
 
+// Each report names an address, and a poll without a reply keeps a connection
+// to it.
+BOOST_AUTO_TEST_CASE(the_number_of_unanswered_polls_is_limited) {
+  std::vector<std::function<void(process::dispatch::HoldReply)>> Unanswered;
+  process::dispatch::MinionCandidatesHooks Hooks;
+  Hooks.Now_ = Loop_.clock();
+  Hooks.Hold_ = [&](const auto &, const auto &, auto Done) {
+    Unanswered.push_back(std::move(Done));
+  };
+  Hooks.NextToken_ = [] { return 1; };
+  Hooks.OnAnswered_ = [](const auto &) {};
+  Hooks.Log_ = [](const auto &, const auto &, const auto &) {};
+  process::dispatch::MinionCandidates Candidates({.MaxPendingPolls_ = 6},
+                                                 Hooks);
+  const auto Report = [&](int Number) {
+    request::MinionReport Result = Minion_.report();
+    Result.Incarnation_.Id_ = "m" + std::to_string(Number);
+    Candidates.add(Result);
+  };
+  for (int I = 0; I < 50; ++I)
+    Report(I);
+  BOOST_TEST(Unanswered.size() == 6u);
+  Unanswered.front()({});
+  Report(50);
+  BOOST_TEST(Unanswered.size() == 7u);
+}
+
 BOOST_AUTO_TEST_CASE(stops_a_stalled_run) {
   Minion_.StalledTasks_ = {"a/0"};
   order("a", 1);
