--- a/tests/unit/dispatch_messages_test.cpp
+++ b/tests/unit/dispatch_messages_test.cpp
@@ -38,7 +38,7 @@
           // Deeply nested arrays.
           std::string(100'000, '\x91'),
           // Arrays in the place of a field.
-          "\x94\xa1m\x00\x00\x91\x91\x91\x01"};
+          std::string("\x94\xa1m\x00\x00\x91\x91\x91\x01", 9)};
 }
 
 } // namespace
--- a/tests/unit/http_pressure_test.cpp
+++ b/tests/unit/http_pressure_test.cpp
@@ -158,9 +158,9 @@
 // clients that reopen connections all the time kept callers out.
 BOOST_FIXTURE_TEST_CASE(a_new_connection_has_time_for_its_request, Fixture) {
   const auto Caller = RawPeer::open(Context_, Server_->port());
-  std::vector<std::shared_ptr<RawPeer>> Others;
-  for (int I = 0; I < 20; ++I)
-    Others.push_back(RawPeer::open(Context_, Server_->port()));
+  std::vector<std::shared_ptr<RawPeer>> Others(20);
+  for (auto &Each : Others)
+    Each = RawPeer::open(Context_, Server_->port());
   runFor(Context_, 10ms);
   Caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   BOOST_TEST(until([&] { return Caller->count("served") == 1; }));
@@ -171,9 +171,9 @@
 
 // The connection that waits for room is served as well when the server stops.
 BOOST_FIXTURE_TEST_CASE(a_connection_that_waits_for_room_is_served, Fixture) {
-  std::vector<std::shared_ptr<RawPeer>> Others;
-  for (int I = 0; I < 4; ++I)
-    Others.push_back(RawPeer::open(Context_, Server_->port()));
+  std::vector<std::shared_ptr<RawPeer>> Others(4);
+  for (auto &Each : Others)
+    Each = RawPeer::open(Context_, Server_->port());
   runFor(Context_, 10ms);
   const auto Caller = RawPeer::open(Context_, Server_->port());
   Caller->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
--- a/tests/unit/peer_limits_test.cpp
+++ b/tests/unit/peer_limits_test.cpp
@@ -161,9 +161,9 @@
 // New links replaced others before their hello had arrived.
 BOOST_FIXTURE_TEST_CASE(a_new_link_has_time_for_its_first_message, Fixture) {
   const auto Entry = open();
-  std::vector<std::shared_ptr<RawPeer>> Others;
-  for (int I = 0; I < 20; ++I)
-    Others.push_back(open());
+  std::vector<std::shared_ptr<RawPeer>> Others(20);
+  for (auto &Each : Others)
+    Each = open();
   runFor(Context_, 10ms);
   Entry->send(message(10));
   BOOST_TEST(until([&] { return Messages_ == 1; }));
