--- a/packages/process/include/wigeonwall/process/dispatch/agent_links.h
+++ b/packages/process/include/wigeonwall/process/dispatch/agent_links.h
@@ -30,6 +30,13 @@
       Log_;
 };
 
+/// \brief Returns the name of an entry on its links. An agent takes a
+/// connection that sends the name for a new session of the entry, so it has 64
+/// bits from \p Random.
+[[nodiscard]] std::string
+uniqueLinkName(const std::string &Id, std::int64_t StartedAtMs,
+               const std::function<std::uint32_t()> &Random);
+
 /// \brief Maintains a connection and a session with each known agent.
 class AgentLinks {
 public:
--- a/packages/process/src/dispatch/agent_links.cpp
+++ b/packages/process/src/dispatch/agent_links.cpp
@@ -1,6 +1,8 @@
 #include "wigeonwall/process/dispatch/agent_links.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdio>
 
 namespace wigeonwall::process::dispatch {
 
@@ -8,6 +10,13 @@
 
 namespace asio = connection::asio;
 
+std::string uniqueLinkName(const std::string &Id, std::int64_t StartedAtMs,
+                           const std::function<std::uint32_t()> &Random) {
+  std::array<char, 17> Secret{};
+  std::snprintf(Secret.data(), Secret.size(), "%08x%08x", Random(), Random());
+  return Id + "@" + std::to_string(StartedAtMs) + "-" + Secret.data();
+}
+
 AgentLinks::AgentLinks(asio::io_context &Context, LinkTiming Timing,
                        AgentLinksHooks Hooks, std::string OwnName,
                        connection::PeerLimits Limits, bool AsksForProfiles)
