Let the accept queue of a listener follow its limit of connections

Connections that wait to be accepted keep their input in the kernel. With room for 1,024 at each listener and 16 KiB to receive, those of readiness, metrics and other entries could hold 50 MB at an entry besides the callers', and 67 MB at the links of an agent, which the sum of all limits left out; it was 160 MB on a machine of 120 MB.

The queue has room for as many connections as the listener may have open, from 64 to 1,024.

--- a/packages/connection/src/acceptor.cpp
+++ b/packages/connection/src/acceptor.cpp
@@ -1,9 +1,12 @@
 #include "acceptor.h"
 
+#include <algorithm>
+
 namespace wigeonwall::connection::detail {
 
 bool openAcceptor(asio::ip::tcp::acceptor &Acceptor, const Endpoint &Address,
-                  bool ReusePort, const SocketBuffers &Buffers) {
+                  bool ReusePort, const SocketBuffers &Buffers,
+                  std::size_t Connections) {
   using ReusePortOption =
       asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
   using asio::ip::tcp;
@@ -28,7 +31,10 @@
   if (!Error)
     Acceptor.bind(Local, Error);
   if (!Error)
-    Acceptor.listen(MaxPendingConnections, Error);
+    Acceptor.listen(
+        static_cast<int>(std::clamp(Connections, MinPendingConnections,
+                                    MaxPendingConnections)),
+        Error);
   return !Error;
 }
 
--- a/packages/connection/src/http_server.cpp
+++ b/packages/connection/src/http_server.cpp
@@ -151,7 +151,8 @@
 bool HttpServer::listen() {
   if (!detail::openAcceptor(State_->Acceptor_, State_->Address_,
                             State_->Sessions_->Limits_.ReusePort_,
-                            State_->Sessions_->Limits_.Buffers_))
+                            State_->Sessions_->Limits_.Buffers_,
+                            State_->Sessions_->Limits_.Connections_))
     return false;
   State_->Port_ = State_->Acceptor_.local_endpoint().port();
   State_->accept();
--- a/packages/connection/src/peer_connection.cpp
+++ b/packages/connection/src/peer_connection.cpp
@@ -243,7 +243,8 @@
       CloseUnused_(std::move(CloseUnused)) {}
 
 bool PeerListener::listen() {
-  if (!detail::openAcceptor(Acceptor_, Address_, false, Limits_.Buffers_))
+  if (!detail::openAcceptor(Acceptor_, Address_, false, Limits_.Buffers_,
+                            Limits_.Connections_))
     return false;
   accept();
   return true;
--- a/tests/unit/http_pressure_test.cpp
+++ b/tests/unit/http_pressure_test.cpp
@@ -216,3 +216,22 @@
     });
   }));
 }
+
+// The input of connections that wait to be accepted is memory as well.
+BOOST_FIXTURE_TEST_CASE(few_connections_wait_to_be_accepted, Fixture) {
+  asio::io_context Clients{1};
+  std::vector<asio::ip::tcp::socket> Sockets;
+  Sockets.reserve(200);
+  std::size_t Connected = 0;
+  for (int I = 0; I < 200; ++I)
+    Sockets.emplace_back(Clients).async_connect(
+        {asio::ip::make_address("127.0.0.1"), Server_->port()},
+        [&Connected](auto Error) { Connected += Error ? 0 : 1; });
+  Clients.run_for(200ms);
+  // The kernel accepts one more than the smallest size of its queue.
+  BOOST_TEST(Connected <= 65u);
+  Sockets.clear();
+  // A connection to a full queue would block this thread.
+  runFor(Context_, 500ms);
+  BOOST_TEST(serves());
+}
