--- a/packages/connection/include/wigeonwall/connection/http_server.h
+++ b/packages/connection/include/wigeonwall/connection/http_server.h
@@ -57,8 +57,11 @@
 /// with 503. Connections with slow or truncated requests are closed without a
 /// response. At the connection limit, the connection that has been idle or
 /// unfinished longest is closed, after a minimum time in which accepting
-/// pauses; if all of them wait for a response, the new one is. \code HttpServer
-/// Server(Context, {"127.0.0.1", 0}, {}, Handler); Server.listen(); \endcode
+/// pauses; if all of them wait for a response, the new one is.
+/// \code
+/// HttpServer Server(Context, {"127.0.0.1", 0}, {}, Handler);
+/// Server.listen();
+/// \endcode
 class HttpServer {
 public:
   HttpServer(asio::io_context &Context, Endpoint Address, HttpLimits Limits,
