--- a/review/harness-3/harness.py
+++ b/review/harness-3/harness.py
@@ -316,6 +316,24 @@
             writer.close()
 
 
+class Gate(Link):
+    """A relay before a listener that can be made to refuse connections."""
+
+    async def refuse(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def __init__(self, listen, target):
+        super().__init__(listen, target)
+        self.writers = []
+
+    async def session(self, reader, writer):
+        self.writers.append(writer)
+        await super().session(reader, writer)
+
+
 class Minion:
     """A worker that runs tasks under leases.
 
@@ -491,7 +509,7 @@
     SERVICE, HOST, PREFIX = ROUTE["service"], ROUTE["host"], ROUTE["prefix"]
 
     def __init__(self, folder, entries=2, agents=3, capacity=None,
-                 labels=None, limits=None):
+                 labels=None, gated=()):
         self.record = Record(folder)
         self.temporary = tempfile.TemporaryDirectory()
         # A free block of loopback addresses: the third byte is the machine.
@@ -504,7 +522,11 @@
         self.capacity = capacity or {"cpu": 32000, "ram_mb": 65536, "gpu": 0}
         self.labels = labels or [["a", "r0"]] * agents
         self.version = 0
-        self.minions, self.links, self.beats = [], [], []
+        self.minions, self.links = [], []
+        # Entries that other processes reach through a relay.
+        self.gates = {self.entries[i]: Gate(
+            self.ip(self.machine(self.entries[i]), 7735),
+            self.ip(self.machine(self.entries[i]), 7720)) for i in gated}
 
     @staticmethod
     def free_block():
@@ -541,6 +563,10 @@
         command, template = deploy_role("entry" if entry else "agent")
         with open(os.path.join(ROOT, template)) as file:
             text = render(file.read(), fields)
+        if name in self.gates:
+            relay = "%s:%d" % self.gates[name].listen
+            text = text.replace("[process]\n",
+                                f"[process]\npeers_advertised = {relay}\n")
         path = os.path.join(self.temporary.name, name + ".ini")
         with open(path, "w") as file:
             file.write(text)
@@ -592,6 +618,8 @@
             self.links.append((link, beats))
             self.minions.append(minion)
             self.launch(name)
+        for gate in self.gates.values():
+            await gate.start()
         for name in self.entries:
             self.launch(name)
         for minion in self.minions:
