Move answers, times and maxima out of JobDispatcher

JobResult, JobReason and JobAnswer go to job_answer.h, the times of a job to job_timing.h, and the maxima of several placements, which admission and explanation computed each for itself, to FleetView's header. No behaviour changes.

--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -3,6 +3,8 @@
 #ifndef WIGEONWALL_PROCESS_DISPATCH_JOB_DISPATCHER_H
 #define WIGEONWALL_PROCESS_DISPATCH_JOB_DISPATCHER_H
 
+#include "wigeonwall/process/dispatch/job_answer.h"
+#include "wigeonwall/process/dispatch/job_timing.h"
 #include "wigeonwall/process/dispatch/messages.h"
 #include "wigeonwall/process/dispatch/task_quota.h"
 #include "wigeonwall/process/runtime/peer_call.h"
@@ -20,61 +22,6 @@
 
 namespace wigeonwall::process::dispatch {
 
-/// \brief Result of a job as reported to the caller.
-enum class JobResult : std::uint8_t {
-  Completed,
-  /// A task has failed as many times as the route allows.
-  Failed,
-  /// At least one task may have run, and the job was given up.
-  Abandoned,
-  /// No task has run or will run.
-  Refused,
-};
-
-inline constexpr std::array<request::EnumName<JobResult>, 4> JobResultNames{{
-    {JobResult::Completed, "completed"},
-    {JobResult::Failed, "failed"},
-    {JobResult::Abandoned, "abandoned"},
-    {JobResult::Refused, "refused"},
-}};
-
-/// \brief Why a job was refused or given up.
-enum class JobReason : std::uint8_t {
-  None,
-  /// No agent of the service accepts tasks.
-  NoMinion,
-  /// The predicted completion time is after the objective.
-  Overloaded,
-  /// A task has failed as many times as the route allows.
-  AttemptsUsed,
-  /// The caller's timeout has passed.
-  CallerTimeout,
-  CallerGone,
-  Cancelled,
-  /// The minions of some tasks were lost, and too little time is left.
-  MinionsLost,
-  ShuttingDown,
-};
-
-inline constexpr std::array<request::EnumName<JobReason>, 9> JobReasonNames{{
-    {JobReason::None, "none"},
-    {JobReason::NoMinion, "no_minion"},
-    {JobReason::Overloaded, "overloaded"},
-    {JobReason::AttemptsUsed, "attempts_used"},
-    {JobReason::CallerTimeout, "caller_timeout"},
-    {JobReason::CallerGone, "caller_gone"},
-    {JobReason::Cancelled, "cancelled"},
-    {JobReason::MinionsLost, "minions_lost"},
-    {JobReason::ShuttingDown, "shutting_down"},
-}};
-
-struct JobAnswer {
-  JobResult Result_ = JobResult::Abandoned;
-  JobReason Reason_ = JobReason::None;
-  /// For refusals: time after which the job would probably be admitted.
-  request::Duration RetryAfter_{};
-};
-
 /// \brief Events that are counted, not logged one by one.
 enum class DispatchEvent : std::uint8_t {
   /// A query was sent to an agent.
@@ -96,8 +43,6 @@
         {DispatchEvent::TaskLost, "task_lost"},
     }};
 
-using AnswerCallback = std::function<void(const JobAnswer &)>;
-
 /// \brief Dependencies and callbacks of the dispatcher.
 struct JobDispatcherHooks {
   request::Clock Now_;
@@ -259,12 +204,10 @@
 
   using JobIterator = std::map<std::string, JobState>::iterator;
 
-  struct Timing {
-    request::Duration Objective_{};
-    request::Duration Slack_{};
-  };
-  [[nodiscard]] Timing timing(const request::BatchJob &Spec,
-                              const request::RoutePolicy &Policy) const;
+  [[nodiscard]] JobTiming timing(const request::BatchJob &Spec,
+                                 const request::RoutePolicy &Policy) const {
+    return jobTiming(Spec, Policy, Options_.Overhead_, Options_.ExpiryFactor_);
+  }
   /// Returns the maximum predicted wait of an admitted job with \p Slack.
   [[nodiscard]] request::Duration maxWait(request::Duration Slack) const;
   void refuse(const std::string &JobId, const AnswerCallback &Reply,
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -17,36 +17,8 @@
 
 constexpr double PercentPerUnit = 100.0;
 
-/// Maximum predicted completion time and wait of several placements.
-struct Prediction {
-  Duration Finish_{};
-  Duration Wait_{};
-};
-
-Prediction maxPrediction(const std::vector<request::TaskPlacement> &Places) {
-  Prediction Result;
-  for (const request::TaskPlacement &Each : Places) {
-    Result.Finish_ = std::max(Result.Finish_, Each.Finish_);
-    Result.Wait_ = std::max(Result.Wait_, Each.Wait_);
-  }
-  return Result;
-}
-
 } // namespace
 
-JobDispatcher::Timing
-JobDispatcher::timing(const request::BatchJob &Spec,
-                      const request::RoutePolicy &Policy) const {
-  Timing Result;
-  Result.Objective_ = std::chrono::duration_cast<Duration>(
-                          Spec.Estimate_ * Policy.SlackFactor_) +
-                      Policy.TargetLatency_;
-  Result.Slack_ =
-      std::max(Duration::zero(),
-               Result.Objective_ - Spec.Estimate_ - Options_.Overhead_);
-  return Result;
-}
-
 Duration JobDispatcher::maxWait(Duration Slack) const {
   return request::fromSeconds(
       (Options_.MaxWaitShare_ - Margin_.share(Slack, Hooks_.Now_())) *
@@ -114,7 +86,7 @@
     }
     return;
   }
-  const Timing Times = timing(Spec, Policy);
+  const JobTiming Times = timing(Spec, Policy);
   const TimePoint Now = Hooks_.Now_();
   if (ShutdownDeadline_ && Now + Times.Objective_ > *ShutdownDeadline_)
     return refuse(Spec.Id_, Reply, JobReason::ShuttingDown, {}, {}, "");
@@ -131,10 +103,7 @@
   Next.ReceivedAt_ = Now;
   Next.Slack_ = Times.Slack_;
   Next.Deadline_ = Now + Times.Objective_ - Options_.Overhead_;
-  Next.ExpiresAt_ = Now + std::chrono::duration_cast<Duration>(
-                              Times.Objective_ * Options_.ExpiryFactor_);
-  if (Spec.CallerTimeout_ > Duration::zero())
-    Next.ExpiresAt_ = std::min(Next.ExpiresAt_, Now + Spec.CallerTimeout_);
+  Next.ExpiresAt_ = Now + Times.Lifetime_;
   Next.Tasks_.resize(Spec.TaskCount_);
   Next.Reply_ = std::move(Reply);
   const auto Stored = Jobs_.emplace(Spec.Id_, std::move(Next)).first;
@@ -252,7 +221,7 @@
   JobState &Job = JobIt->second;
   if (Places.empty())
     return refuse(JobIt, JobReason::NoMinion, {}, "");
-  const Prediction Expected = maxPrediction(Places);
+  const request::PlacementMaxima Expected = request::maximaOf(Places);
   const double ReservedShare = Margin_.share(Job.Slack_, Hooks_.Now_());
   const Duration Objective =
       Job.Deadline_ + Options_.Overhead_ - Job.ReceivedAt_;
--- a/packages/process/src/dispatch/job_explanation.cpp
+++ b/packages/process/src/dispatch/job_explanation.cpp
@@ -14,16 +14,15 @@
 JobExplanation
 JobDispatcher::explain(const request::BatchJob &Spec,
                        const request::RoutePolicy &Policy) const {
-  const Timing Times = timing(Spec, Policy);
+  const JobTiming Times = timing(Spec, Policy);
   JobExplanation Result;
   Result.Objective_ = Times.Objective_;
   Result.MaxWait_ = maxWait(Times.Slack_);
   Result.Placement_ = View_.explain(Spec, Policy.Service_, Times.Slack_);
   const auto &Places = Result.Placement_.Places_;
-  for (const request::TaskPlacement &Each : Places) {
-    Result.Wait_ = std::max(Result.Wait_, Each.Wait_);
-    Result.Finish_ = std::max(Result.Finish_, Each.Finish_);
-  }
+  const request::PlacementMaxima Expected = request::maximaOf(Places);
+  Result.Wait_ = Expected.Wait_;
+  Result.Finish_ = Expected.Finish_;
   if (ShutdownDeadline_ &&
       Hooks_.Now_() + Times.Objective_ > *ShutdownDeadline_)
     Result.Reason_ = JobReason::ShuttingDown;
--- a/packages/request/include/wigeonwall/request/fleet_view.h
+++ b/packages/request/include/wigeonwall/request/fleet_view.h
@@ -81,6 +81,15 @@
   Duration Wait_{};
 };
 
+/// \brief Maximum predicted completion time and wait of several placements.
+struct PlacementMaxima {
+  Duration Finish_{};
+  Duration Wait_{};
+};
+
+[[nodiscard]] PlacementMaxima
+maximaOf(const std::vector<TaskPlacement> &Places);
+
 /// \brief Places tasks where they are predicted to end first.
 ///
 /// Many entries may place bursts of parallel tasks on the same minions before
--- a/packages/request/src/fleet_view.cpp
+++ b/packages/request/src/fleet_view.cpp
@@ -32,6 +32,15 @@
 
 } // namespace
 
+PlacementMaxima maximaOf(const std::vector<TaskPlacement> &Places) {
+  PlacementMaxima Result;
+  for (const TaskPlacement &Each : Places) {
+    Result.Finish_ = std::max(Result.Finish_, Each.Finish_);
+    Result.Wait_ = std::max(Result.Wait_, Each.Wait_);
+  }
+  return Result;
+}
+
 void FleetView::onReport(const std::string &Name, AgentReport Report) {
   Agent &Known = Agents_[Name];
   while (!Known.Unreported_.empty() &&
