Start no resubmission whose caller has left

Jobs with a start on it got no answer, also when they were sent again to the same entry; another entry then ran them. When the cut ended, the first entry started all their tasks too, and each ran twice at the same time. A job that was cancelled (200) while its second attempt waited was started in the same way.

Cause: an attempt is ending for as long as one of its starts has no reply, up to 12.5 s. A resubmission in this time was kept as a function that finishIfEnded() called at the end. The close of its connection and a DELETE address the job by its id, and cancel() does nothing for a job that is ending already; the caller's time began with the late start; a shutdown did not answer it; a second resubmission replaced it, and its caller got no answer.

Change: each submission has an attempt id. WaitingAttempts keeps those that wait, each with its caller and the time of its receipt, and drops an attempt when its caller leaves, when a run no longer fits into its time, on a DELETE and before a shutdown's deadline. The answer is 504, never a refusal, because the earlier attempt may have run. So nothing can be started for which nobody waits, and every caller is answered once.

--- a/packages/process/include/wigeonwall/process/dispatch/job_answer.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_answer.h
@@ -46,9 +46,11 @@
   /// The minions of some tasks were lost, and too little time is left.
   MinionsLost,
   ShuttingDown,
+  /// Runs of an earlier attempt had not ended in time.
+  EarlierAttempt,
 };
 
-inline constexpr std::array<request::EnumName<JobReason>, 9> JobReasonNames{{
+inline constexpr std::array<request::EnumName<JobReason>, 10> JobReasonNames{{
     {JobReason::None, "none"},
     {JobReason::NoMinion, "no_minion"},
     {JobReason::Overloaded, "overloaded"},
@@ -58,6 +60,7 @@
     {JobReason::Cancelled, "cancelled"},
     {JobReason::MinionsLost, "minions_lost"},
     {JobReason::ShuttingDown, "shutting_down"},
+    {JobReason::EarlierAttempt, "earlier_attempt"},
 }};
 
 struct JobAnswer {
--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -4,9 +4,11 @@
 #define WIGEONWALL_PROCESS_DISPATCH_JOB_DISPATCHER_H
 
 #include "wigeonwall/process/dispatch/job_answer.h"
+#include "wigeonwall/process/dispatch/job_attempt.h"
 #include "wigeonwall/process/dispatch/job_timing.h"
 #include "wigeonwall/process/dispatch/messages.h"
 #include "wigeonwall/process/dispatch/task_quota.h"
+#include "wigeonwall/process/dispatch/waiting_attempts.h"
 #include "wigeonwall/process/runtime/peer_call.h"
 #include "wigeonwall/request/admission_margin.h"
 #include "wigeonwall/request/batch_job.h"
@@ -119,12 +121,18 @@
                 JobDispatcherHooks Hooks)
       : Options_(Options), View_(View), Hooks_(std::move(Hooks)),
         Tasks_(Options.MaxTasks_), Retry_({.MaxDelay_ = Options.MaxRetryAfter_},
-                                          Hooks_.Now_, Hooks_.Random_) {}
+                                          Hooks_.Now_, Hooks_.Random_),
+        Waiting_({Hooks_.Now_, Hooks_.OnAnswered_, Hooks_.Log_}) {}
 
   /// \brief Submits a job. \p Reply is called exactly once, possibly before
-  /// this function returns. Resubmitting an active job attaches \p Reply to it.
-  void submit(const request::BatchJob &Spec, const request::RoutePolicy &Policy,
-              const std::string &Queue, AnswerCallback Reply);
+  /// this function returns. Resubmitting an active job attaches \p Reply to it;
+  /// a resubmission of a job that is ending waits for the end.
+  AttemptId submit(const request::BatchJob &Spec,
+                   const request::RoutePolicy &Policy, const std::string &Queue,
+                   AnswerCallback Reply);
+  /// \brief Records that the caller of an attempt no longer waits, which ends
+  /// the job.
+  void leave(const std::string &JobId, AttemptId Attempt);
   void onOutcome(const std::string &Agent, const RunOutcome &Outcome);
   /// \brief Continues the placements that wait for a report of the agent. Call
   /// after the view has received the report.
@@ -132,13 +140,14 @@
   /// \brief Marks all tasks at the agent as lost. They have ended by \p SafeAt
   /// and may be started elsewhere from then on.
   void onAgentLost(const std::string &Agent, request::TimePoint SafeAt);
-  /// \brief Ends an active job; returns false if there is no such job.
+  /// \brief Ends all attempts of a job; returns false if there is none.
   bool cancel(const std::string &JobId, JobReason Reason);
   /// \brief Refuses new jobs that might not end by \p Deadline and ends all
   /// remaining jobs at \p Deadline, so that every caller is answered before the
   /// process exits.
   void beginShutdown(request::TimePoint Deadline) {
     ShutdownDeadline_ = Deadline;
+    Waiting_.beginShutdown(Deadline);
   }
   /// \brief Returns what submit() would do with a job now, by the reports at
   /// hand. Changes no state and sends nothing.
@@ -178,8 +187,9 @@
   };
 
   struct JobState {
-    /// Distinguishes the job from later ones with the same id.
-    std::uint64_t Serial_ = 0;
+    /// Id of the first attempt, which distinguishes the job from later ones
+    /// with the same id.
+    AttemptId Serial_ = 0;
     request::BatchJob Spec_;
     request::RoutePolicy Policy_;
     std::string Queue_;
@@ -198,8 +208,6 @@
     bool Ending_ = false;
     JobReason Reason_ = JobReason::None;
     request::Duration RetryAfter_{};
-    /// Resubmission that arrived while the job was ending.
-    std::function<void()> Resubmission_;
   };
 
   using JobIterator = std::map<std::string, JobState>::iterator;
@@ -208,6 +216,9 @@
                                  const request::RoutePolicy &Policy) const {
     return jobTiming(Spec, Policy, Options_.Overhead_, Options_.ExpiryFactor_);
   }
+  void submit(JobAttempt Attempt);
+  /// Adds an attempt to a job that is active or ending.
+  void join(JobIterator JobIt, JobAttempt Attempt);
   /// Returns the maximum predicted wait of an admitted job with \p Slack.
   [[nodiscard]] request::Duration maxWait(request::Duration Slack) const;
   void refuse(const std::string &JobId, const AnswerCallback &Reply,
@@ -260,7 +271,8 @@
   request::AdmissionMargin Margin_;
   request::RetryAdvisor Retry_;
   std::map<std::string, JobState> Jobs_;
-  std::uint64_t LastSerial_ = 0;
+  AttemptId LastAttempt_ = 0;
+  WaitingAttempts Waiting_;
   /// Ids of the jobs that await reports.
   std::set<std::string> AwaitingReports_;
   std::optional<request::TimePoint> ShutdownDeadline_;
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -67,51 +67,62 @@
   }
 }
 
-void JobDispatcher::submit(const request::BatchJob &Spec,
-                           const request::RoutePolicy &Policy,
-                           const std::string &Queue, AnswerCallback Reply) {
-  if (const auto Known = Jobs_.find(Spec.Id_); Known != Jobs_.end()) {
-    Hooks_.Log_(Spec.Id_, "joined",
-                Known->second.Ending_ ? "state=ending" : "state=running");
-    if (Known->second.Ending_) {
-      Known->second.Resubmission_ = [this, Spec, Policy, Queue, Reply] {
-        submit(Spec, Policy, Queue, Reply);
-      };
-    } else {
-      Known->second.Reply_ = [First = std::move(Known->second.Reply_),
-                              Second = std::move(Reply)](const auto &Answer) {
-        First(Answer);
-        Second(Answer);
-      };
-    }
-    return;
-  }
-  const JobTiming Times = timing(Spec, Policy);
+AttemptId JobDispatcher::submit(const request::BatchJob &Spec,
+                                const request::RoutePolicy &Policy,
+                                const std::string &Queue,
+                                AnswerCallback Reply) {
+  const AttemptId Id = ++LastAttempt_;
+  submit({Id, Spec, Policy, Queue, Hooks_.Now_(), std::move(Reply)});
+  return Id;
+}
+
+void JobDispatcher::submit(JobAttempt Attempt) {
+  const std::string Id = Attempt.Spec_.Id_;
+  if (const auto Known = Jobs_.find(Id); Known != Jobs_.end())
+    return join(Known, std::move(Attempt));
+  const JobTiming Times = timing(Attempt.Spec_, Attempt.Policy_);
   const TimePoint Now = Hooks_.Now_();
+  const Duration Waited = Now - Attempt.ReceivedAt_;
   if (ShutdownDeadline_ && Now + Times.Objective_ > *ShutdownDeadline_)
-    return refuse(Spec.Id_, Reply, JobReason::ShuttingDown, {}, {}, "");
-  auto Claim = Tasks_.claim(Spec.TaskCount_);
+    return refuse(Id, Attempt.Reply_, JobReason::ShuttingDown, {}, Waited, "");
+  auto Claim = Tasks_.claim(Attempt.Spec_.TaskCount_);
   if (!Claim)
-    return refuse(Spec.Id_, Reply, JobReason::Overloaded, {}, {},
+    return refuse(Id, Attempt.Reply_, JobReason::Overloaded, {}, Waited,
                   " open_tasks=" + std::to_string(Tasks_.used()));
   JobState Next;
   Next.Claim_ = std::move(*Claim);
-  Next.Serial_ = ++LastSerial_;
-  Next.Spec_ = Spec;
-  Next.Policy_ = Policy;
-  Next.Queue_ = Queue;
-  Next.ReceivedAt_ = Now;
-  Next.Slack_ = Times.Slack_;
-  Next.Deadline_ = Now + Times.Objective_ - Options_.Overhead_;
-  Next.ExpiresAt_ = Now + Times.Lifetime_;
-  Next.Tasks_.resize(Spec.TaskCount_);
-  Next.Reply_ = std::move(Reply);
-  const auto Stored = Jobs_.emplace(Spec.Id_, std::move(Next)).first;
-  std::vector<std::uint32_t> Indices(Spec.TaskCount_);
+  Next.Serial_ = Attempt.Id_;
+  Next.Spec_ = std::move(Attempt.Spec_);
+  Next.Policy_ = std::move(Attempt.Policy_);
+  Next.Queue_ = std::move(Attempt.Queue_);
+  Next.ReceivedAt_ = Attempt.ReceivedAt_;
+  Next.Slack_ = std::max(Duration::zero(), Times.Slack_ - Waited);
+  Next.Deadline_ = Next.ReceivedAt_ + Times.Objective_ - Options_.Overhead_;
+  Next.ExpiresAt_ = Next.ReceivedAt_ + Times.Lifetime_;
+  Next.Tasks_.resize(Next.Spec_.TaskCount_);
+  Next.Reply_ = std::move(Attempt.Reply_);
+  const auto Stored = Jobs_.emplace(Id, std::move(Next)).first;
+  std::vector<std::uint32_t> Indices(Stored->second.Tasks_.size());
   std::iota(Indices.begin(), Indices.end(), 0U);
   placeTasks(Stored, Indices);
 }
 
+void JobDispatcher::join(JobIterator JobIt, JobAttempt Attempt) {
+  JobState &Job = JobIt->second;
+  Hooks_.Log_(JobIt->first, "joined",
+              Job.Ending_ ? "state=ending" : "state=running");
+  if (!Job.Ending_) {
+    Job.Reply_ = [First = std::move(Job.Reply_),
+                  Second = std::move(Attempt.Reply_)](const auto &Answer) {
+      First(Answer);
+      Second(Answer);
+    };
+    return;
+  }
+  const JobTiming Times = timing(Attempt.Spec_, Attempt.Policy_);
+  Waiting_.add(std::move(Attempt), Times);
+}
+
 void JobDispatcher::placeTasks(JobIterator JobIt,
                                const std::vector<std::uint32_t> &Indices) {
   Placement &Pending = JobIt->second.Placement_;
@@ -133,7 +144,7 @@
   if (!Job.Admitted_)
     return admit(JobIt, Places);
   const std::string JobId = JobIt->first;
-  const std::uint64_t Serial = Job.Serial_;
+  const AttemptId Serial = Job.Serial_;
   for (const std::uint32_t Index : Indices) {
     // The job may end, and be erased, with any of its tasks.
     const auto Known = Jobs_.find(JobId);
@@ -164,8 +175,8 @@
   return true;
 }
 
-void JobDispatcher::onQueryTimeout(const std::string &JobId,
-                                   std::uint64_t Serial, std::uint32_t Round) {
+void JobDispatcher::onQueryTimeout(const std::string &JobId, AttemptId Serial,
+                                   std::uint32_t Round) {
   const auto JobIt = Jobs_.find(JobId);
   if (JobIt == Jobs_.end() || JobIt->second.Serial_ != Serial)
     return;
@@ -379,7 +390,13 @@
   }
 }
 
+void JobDispatcher::leave(const std::string &JobId, AttemptId Attempt) {
+  if (!Waiting_.leave(JobId, Attempt))
+    cancel(JobId, JobReason::CallerGone);
+}
+
 bool JobDispatcher::cancel(const std::string &JobId, JobReason Reason) {
+  Waiting_.cancel(JobId, Reason);
   const auto JobIt = Jobs_.find(JobId);
   if (JobIt == Jobs_.end())
     return false;
@@ -389,6 +406,7 @@
 }
 
 void JobDispatcher::tick() {
+  Waiting_.expire();
   const TimePoint Now = Hooks_.Now_();
   for (auto Each = Jobs_.begin(); Each != Jobs_.end();) {
     const auto JobIt = Each++;
@@ -447,10 +465,10 @@
   if (!Job.Ending_ || anyPlaced(Job))
     return;
   answer(Job, resultOf(Job));
-  const std::function<void()> Resubmission = std::move(Job.Resubmission_);
+  const std::string JobId = JobIt->first;
   Jobs_.erase(JobIt);
-  if (Resubmission)
-    Resubmission();
+  for (JobAttempt &Next : Waiting_.take(JobId))
+    submit(std::move(Next));
 }
 
 JobResult JobDispatcher::resultOf(const JobState &Job) {
