End a job only when its last caller has left

Seen by callers: a caller that had resubmitted its job at the same entry got 504 although its task was at work, because the connection of its first attempt was closed late.

Cause: the close of a connection ended the job by its id. If a second attempt had joined the first, or was running in its place, the late close of the first ended it as well.

Change: JobCallers keeps the callers of a job by attempt. A close removes the caller of its attempt and answers it; the job ends with the last one. A close that belongs to no caller of the job has no effect.

Tests: job_resubmission_test, two new cases.

--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -130,8 +130,8 @@
   AttemptId submit(const request::BatchJob &Spec,
                    const request::RoutePolicy &Policy, const std::string &Queue,
                    AnswerCallback Reply);
-  /// \brief Records that the caller of an attempt no longer waits, which ends
-  /// the job.
+  /// \brief Records that the caller of an attempt no longer waits. Ends the job
+  /// if no other caller waits for it.
   void leave(const std::string &JobId, AttemptId Attempt);
   void onOutcome(const std::string &Agent, const RunOutcome &Outcome);
   /// \brief Continues the placements that wait for a report of the agent. Call
@@ -201,7 +201,7 @@
     std::vector<TaskState> Tasks_;
     Placement Placement_;
     bool Admitted_ = false;
-    AnswerCallback Reply_;
+    JobCallers Callers_;
     bool AnyTaskRan_ = false;
     /// Whether the job has missed the completion time predicted at admission.
     bool ForecastMissed_ = false;
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -44,7 +44,7 @@
 void JobDispatcher::refuse(JobIterator JobIt, JobReason Reason,
                            Duration RetryAfter, const std::string &Detail) {
   const std::string JobId = JobIt->first;
-  const AnswerCallback Reply = std::move(JobIt->second.Reply_);
+  const AnswerCallback Reply = JobIt->second.Callers_.release();
   const Duration After = Hooks_.Now_() - JobIt->second.ReceivedAt_;
   const Duration Delay = retryAfter(JobIt->second, Reason, RetryAfter);
   Jobs_.erase(JobIt);
@@ -100,7 +100,7 @@
   Next.Deadline_ = Next.ReceivedAt_ + Times.Objective_ - Options_.Overhead_;
   Next.ExpiresAt_ = Next.ReceivedAt_ + Times.Lifetime_;
   Next.Tasks_.resize(Next.Spec_.TaskCount_);
-  Next.Reply_ = std::move(Attempt.Reply_);
+  Next.Callers_.add(Attempt.Id_, std::move(Attempt.Reply_));
   const auto Stored = Jobs_.emplace(Id, std::move(Next)).first;
   std::vector<std::uint32_t> Indices(Stored->second.Tasks_.size());
   std::iota(Indices.begin(), Indices.end(), 0U);
@@ -111,14 +111,8 @@
   JobState &Job = JobIt->second;
   Hooks_.Log_(JobIt->first, "joined",
               Job.Ending_ ? "state=ending" : "state=running");
-  if (!Job.Ending_) {
-    Job.Reply_ = [First = std::move(Job.Reply_),
-                  Second = std::move(Attempt.Reply_)](const auto &Answer) {
-      First(Answer);
-      Second(Answer);
-    };
-    return;
-  }
+  if (!Job.Ending_)
+    return Job.Callers_.add(Attempt.Id_, std::move(Attempt.Reply_));
   const JobTiming Times = timing(Attempt.Spec_, Attempt.Policy_);
   Waiting_.add(std::move(Attempt), Times);
 }
@@ -391,8 +385,13 @@
 }
 
 void JobDispatcher::leave(const std::string &JobId, AttemptId Attempt) {
-  if (!Waiting_.leave(JobId, Attempt))
-    cancel(JobId, JobReason::CallerGone);
+  if (Waiting_.leave(JobId, Attempt))
+    return;
+  const auto JobIt = Jobs_.find(JobId);
+  if (JobIt == Jobs_.end() || JobIt->second.Ending_)
+    return;
+  if (JobIt->second.Callers_.leave(Attempt) == CallerLeft::Last)
+    beginEnding(JobIt, JobReason::CallerGone);
 }
 
 bool JobDispatcher::cancel(const std::string &JobId, JobReason Reason) {
@@ -478,7 +477,7 @@
 }
 
 void JobDispatcher::answer(JobState &Job, JobResult Result) {
-  if (!Job.Reply_)
+  if (Job.Callers_.empty())
     return;
   JobAnswer Answer;
   Answer.Result_ = Result;
@@ -493,9 +492,7 @@
           std::to_string(request::toMilliseconds(Now - Job.ReceivedAt_)) +
           " late=" + (Now > Job.Deadline_ ? "yes" : "no"));
   Hooks_.OnAnswered_(Result, Now - Job.ReceivedAt_);
-  const AnswerCallback Reply = std::move(Job.Reply_);
-  Job.Reply_ = nullptr;
-  Reply(Answer);
+  Job.Callers_.release()(Answer);
 }
 
 bool JobDispatcher::allDone(const JobState &Job) {
--- a/tests/unit/job_resubmission_test.cpp
+++ b/tests/unit/job_resubmission_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// \brief Checks for whom the attempts of a job run.
+/// \brief Checks for whom the attempts of a job run: each ends when its last
+/// caller has left, and none ends that of another caller.
 #include "standins/dispatcher_fixture.h"
 
 #include <boost/test/unit_test.hpp>
@@ -82,4 +83,31 @@
   BOOST_TEST(Orders_.size() == 1u);
 }
 
+// The close of the first connection ended the job by its id, also for the
+// caller that had joined it.
+BOOST_AUTO_TEST_CASE(a_late_close_of_an_earlier_attempt_ends_only_that_one) {
+  const AttemptId First = submit(1);
+  const AttemptId Second = submit(1);
+  Jobs_.leave("job", First);
+  BOOST_TEST(Cancels_.empty());
+  BOOST_REQUIRE(Answers_.size() == 1u);
+  BOOST_TEST((Answers_[0].Reason_ == JobReason::CallerGone));
+  Jobs_.leave("job", First);
+  BOOST_TEST(Cancels_.empty());
+  Jobs_.leave("job", Second);
+  BOOST_TEST(Cancels_.size() == 1u);
+}
+
+// The id of the job is the same; the resubmission runs, and its caller waits.
+BOOST_AUTO_TEST_CASE(a_late_close_of_an_ended_attempt_ends_no_resubmission) {
+  const AttemptId First = submit(1);
+  Jobs_.cancel("job", JobReason::Cancelled);
+  end(0, RunEnd::Stopped);
+  submit(1);
+  Jobs_.leave("job", First);
+  BOOST_TEST(Cancels_.size() == 1u);
+  end(0, RunEnd::Done);
+  BOOST_TEST((Answers_.back().Result_ == JobResult::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
