Let no resubmission join an attempt whose time is over

Seen in a unit test: a resubmission was answered together with the earlier attempt (504, caller_timeout), without a try of its own.

Cause: expired attempts are ended by a tick. After a stall of the process, requests are read before the tick, and a resubmission joined the attempt whose time was over; the tick then answered both.

Change: submit() ends an expired attempt itself before it adds the new one, which so waits for the end of the runs like any other resubmission.

Test: job_resubmission_test, a_resubmission_does_not_join_an_expired_attempt.

--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -109,6 +109,11 @@
 
 void JobDispatcher::join(JobIterator JobIt, JobAttempt Attempt) {
   JobState &Job = JobIt->second;
+  // The tick that ends an expired job may still be due.
+  if (!Job.Ending_ && Hooks_.Now_() >= Job.ExpiresAt_) {
+    beginEnding(JobIt, JobReason::CallerTimeout);
+    return submit(std::move(Attempt));
+  }
   Hooks_.Log_(JobIt->first, "joined",
               Job.Ending_ ? "state=ending" : "state=running");
   if (!Job.Ending_)
--- a/tests/unit/job_resubmission_test.cpp
+++ b/tests/unit/job_resubmission_test.cpp
@@ -110,4 +110,19 @@
   BOOST_TEST((Answers_.back().Result_ == JobResult::Completed));
 }
 
+// After a stall, a resubmission may be read before the tick that ends the
+// expired attempt; it was answered together with that attempt.
+BOOST_AUTO_TEST_CASE(a_resubmission_does_not_join_an_expired_attempt) {
+  submit(1);
+  Time_.advance(2s);
+  submit(1);
+  BOOST_TEST(Cancels_.size() == 1u);
+  end(0, RunEnd::Stopped);
+  BOOST_TEST(Answers_.size() == 1u);
+  BOOST_TEST(Orders_.size() == 2u);
+  end(0, RunEnd::Done);
+  BOOST_REQUIRE(Answers_.size() == 2u);
+  BOOST_TEST((Answers_[1].Result_ == JobResult::Completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
