Pass a cancellation on although remains of the job are found

A DELETE at the first entry was answered 200, and the job ran to its end.

Cause: an entry answered a cancellation alone as soon as it knew the job, also if it had only an attempt that was ending; other entries were asked only about unknown jobs.

Change: JobDispatcher::cancel() says whether it has ended an attempt or found only remains. An attempt that was ended, here or elsewhere, is answered 200 at once; remains only when all entries have answered. So 200 means that no reachable entry has an attempt left.

--- a/packages/process/include/wigeonwall/process/dispatch/job_answer.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_answer.h
@@ -70,6 +70,23 @@
   request::Duration RetryAfter_{};
 };
 
+/// \brief What a cancellation found at an entry.
+enum class CancelFound : std::uint8_t {
+  Nothing,
+  /// Only an attempt that was ending already. Its caller may have submitted the
+  /// job to another entry since.
+  Remains,
+  /// An attempt that was active or waited; it has been ended.
+  Attempt,
+};
+
+inline constexpr std::array<request::EnumName<CancelFound>, 3> CancelFoundNames{
+    {
+        {CancelFound::Nothing, "nothing"},
+        {CancelFound::Remains, "remains"},
+        {CancelFound::Attempt, "attempt"},
+    }};
+
 using AnswerCallback = std::function<void(const JobAnswer &)>;
 
 } // namespace wigeonwall::process::dispatch
--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -140,8 +140,8 @@
   /// \brief Marks all tasks at the agent as lost. They have ended by \p SafeAt
   /// and may be started elsewhere from then on.
   void onAgentLost(const std::string &Agent, request::TimePoint SafeAt);
-  /// \brief Ends all attempts of a job; returns false if there is none.
-  bool cancel(const std::string &JobId, JobReason Reason);
+  /// \brief Ends all attempts of a job.
+  CancelFound cancel(const std::string &JobId, JobReason Reason);
   /// \brief Refuses new jobs that might not end by \p Deadline and ends all
   /// remaining jobs at \p Deadline, so that every caller is answered before the
   /// process exits.
--- a/packages/process/include/wigeonwall/process/dispatch/peer_cancellation.h
+++ b/packages/process/include/wigeonwall/process/dispatch/peer_cancellation.h
@@ -5,6 +5,7 @@
 
 #include "wigeonwall/connection/http_client.h"
 #include "wigeonwall/connection/http_server.h"
+#include "wigeonwall/process/dispatch/job_answer.h"
 #include "wigeonwall/process/dispatch/peer_roster.h"
 #include "wigeonwall/process/runtime/peer_call.h"
 #include "wigeonwall/request/enum_names.h"
@@ -18,13 +19,14 @@
 
 namespace wigeonwall::process::dispatch {
 
-/// \brief What the other entries answered to a cancellation.
+/// \brief Result of a cancellation at all entries.
 enum class PeerCancelResult : std::uint8_t {
-  /// One of them has cancelled the job.
+  /// One of them has ended an attempt, or the job was ending and none has an
+  /// attempt that is not.
   Cancelled,
-  /// None of them has the job.
+  /// None of them knows the job.
   Unknown,
-  /// Some could not be asked, and one of them may have the job.
+  /// Some could not be asked, and one of them may have an attempt.
   Unanswered,
 };
 
@@ -44,8 +46,9 @@
   std::function<void(
       std::function<void(std::optional<std::vector<connection::Endpoint>>)>)>
       ListNewPeers_;
-  /// Cancels a job of this entry; the callback receives false if there is none.
-  std::function<void(const std::string &JobId, std::function<void(bool)> Done)>
+  /// Cancels a job at this entry.
+  std::function<void(const std::string &JobId,
+                     std::function<void(CancelFound)> Done)>
       CancelLocally_;
   std::function<void(const std::string &JobId, const std::string &Event,
                      const std::string &Detail)>
@@ -53,11 +56,13 @@
 };
 
 /// \brief Passes cancellations to all other entries, and serves theirs at
-/// `POST /cancel?job=ID` (200, or 404 if the job is not known).
+/// `POST /cancel?job=ID` (200, 202 if the job was ending already, or 404 if it
+/// is not known).
 ///
-/// A job is known only to the entry that accepted it, and a caller may reach
-/// any entry. An entry whose key has vanished from the store may still have
-/// jobs and is asked as long as PeerRoster keeps it.
+/// An attempt is known only to the entry that accepted it, and a caller may
+/// reach any entry, also when it submits the job again. An entry whose key has
+/// vanished from the store may still have jobs and is asked as long as
+/// PeerRoster keeps it.
 class PeerCancellation {
 public:
   using Callback = std::function<void(PeerCancelResult)>;
@@ -70,9 +75,11 @@
 
   /// \brief Replaces the registered entries.
   void setPeers(std::vector<connection::Endpoint> Peers);
-  /// \brief Asks all other entries. Answers Unanswered at once if the entries
-  /// are not known yet, or too many cancellations are pending.
-  void cancel(const std::string &JobId, Callback Done);
+  /// \brief Asks all other entries to cancel a job that has been cancelled here
+  /// with the result \p Local. \p Done is called at once if that was an
+  /// attempt; otherwise, with Unanswered, if the entries are not known yet or
+  /// too many cancellations are pending.
+  void cancel(const std::string &JobId, CancelFound Local, Callback Done);
   /// \brief Handles a request of another entry; returns false if it is no
   /// cancellation.
   bool serve(const connection::HttpRequest &Request,
--- a/packages/process/include/wigeonwall/process/dispatch/waiting_attempts.h
+++ b/packages/process/include/wigeonwall/process/dispatch/waiting_attempts.h
@@ -40,8 +40,9 @@
   /// \brief Removes an attempt whose caller no longer waits; returns false if
   /// there is no such attempt.
   bool leave(const std::string &JobId, AttemptId Attempt);
-  /// \brief Answers and removes all attempts of a job.
-  void cancel(const std::string &JobId, JobReason Reason);
+  /// \brief Answers and removes all attempts of a job; returns false if there
+  /// is none.
+  bool cancel(const std::string &JobId, JobReason Reason);
   /// \brief Answers the attempts that can no longer be completed in time.
   void expire();
   /// \brief From now on, an attempt must be able to meet its objective by
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -399,14 +399,15 @@
     beginEnding(JobIt, JobReason::CallerGone);
 }
 
-bool JobDispatcher::cancel(const std::string &JobId, JobReason Reason) {
-  Waiting_.cancel(JobId, Reason);
+CancelFound JobDispatcher::cancel(const std::string &JobId, JobReason Reason) {
+  const bool Waited = Waiting_.cancel(JobId, Reason);
   const auto JobIt = Jobs_.find(JobId);
   if (JobIt == Jobs_.end())
-    return false;
-  if (!JobIt->second.Ending_)
-    beginEnding(JobIt, Reason);
-  return true;
+    return CancelFound::Nothing;
+  if (JobIt->second.Ending_)
+    return Waited ? CancelFound::Attempt : CancelFound::Remains;
+  beginEnding(JobIt, Reason);
+  return CancelFound::Attempt;
 }
 
 void JobDispatcher::tick() {
--- a/packages/process/src/dispatch/peer_cancellation.cpp
+++ b/packages/process/src/dispatch/peer_cancellation.cpp
@@ -23,8 +23,21 @@
 constexpr const char *TargetPrefix = "/cancel?job=";
 
 constexpr int StatusOk = 200;
+constexpr int StatusAccepted = 202;
 constexpr int StatusNotFound = 404;
 
+int statusOf(CancelFound Found) {
+  switch (Found) {
+  case CancelFound::Attempt:
+    return StatusOk;
+  case CancelFound::Remains:
+    return StatusAccepted;
+  case CancelFound::Nothing:
+    break;
+  }
+  return StatusNotFound;
+}
+
 connection::HttpClientLimits clientLimits() {
   connection::HttpClientLimits Result;
   Result.ResponseBytes_ = MaxResponseBytes;
@@ -56,6 +69,8 @@
   std::size_t Awaited_ = 0;
   bool NewPeersListed_ = false;
   bool Unanswered_ = false;
+  /// An entry has an attempt that was ending already.
+  bool Remains_ = false;
 };
 
 PeerCancellation::PeerCancellation(connection::asio::io_context &Context,
@@ -95,15 +110,22 @@
   });
 }
 
-void PeerCancellation::cancel(const std::string &JobId, Callback Done) {
+void PeerCancellation::cancel(const std::string &JobId, CancelFound Local,
+                              Callback Done) {
+  // An attempt of a caller that has left may still run at another entry, so the
+  // others are asked in any case.
+  if (Local == CancelFound::Attempt)
+    std::exchange(Done, [](PeerCancelResult) {})(PeerCancelResult::Cancelled);
   if (!Roster_.known() || *PendingCount_ >= MaxPending) {
     Hooks_.Log_(JobId, "cancel_not_forwarded",
                 Roster_.known() ? "cause=too_many_pending"
                                 : "cause=entries_unknown");
     return Done(PeerCancelResult::Unanswered);
   }
-  ask(std::make_shared<Pending>(JobId, std::move(Done), PendingCount_),
-      Roster_.peers());
+  const auto State =
+      std::make_shared<Pending>(JobId, std::move(Done), PendingCount_);
+  State->Remains_ = Local == CancelFound::Remains;
+  ask(State, Roster_.peers());
 }
 
 void PeerCancellation::ask(const std::shared_ptr<Pending> &State,
@@ -141,6 +163,10 @@
   const bool Answered = Result.Error_ == TransportError::None;
   if (Answered && Result.Response_.Status_ == StatusOk)
     return State.finish(PeerCancelResult::Cancelled);
+  if (Answered && Result.Response_.Status_ == StatusAccepted) {
+    State.Remains_ = true;
+    return;
+  }
   if (Answered && Result.Response_.Status_ == StatusNotFound)
     return;
   State.Unanswered_ = true;
@@ -151,6 +177,7 @@
 void PeerCancellation::onAllAnswered(const std::shared_ptr<Pending> &State) {
   if (State->Unanswered_ || State->NewPeersListed_ || !State->Done_)
     return State->finish(State->Unanswered_ ? PeerCancelResult::Unanswered
+                         : State->Remains_  ? PeerCancelResult::Cancelled
                                             : PeerCancelResult::Unknown);
   State->NewPeersListed_ = true;
   Hooks_.ListNewPeers_([this, State, Alive = Alive_](auto Listed) {
@@ -174,9 +201,9 @@
   if (Request.Method_ != "POST" || !Request.Target_.starts_with(Prefix))
     return false;
   Hooks_.CancelLocally_(Request.Target_.substr(Prefix.size()),
-                        [Respond](bool Known) {
+                        [Respond](CancelFound Found) {
                           HttpResponse Response;
-                          Response.Status_ = Known ? StatusOk : StatusNotFound;
+                          Response.Status_ = statusOf(Found);
                           Respond(std::move(Response));
                         });
   return true;
--- a/packages/process/src/dispatch/waiting_attempts.cpp
+++ b/packages/process/src/dispatch/waiting_attempts.cpp
@@ -55,12 +55,13 @@
   return true;
 }
 
-void WaitingAttempts::cancel(const std::string &JobId, JobReason Reason) {
+bool WaitingAttempts::cancel(const std::string &JobId, JobReason Reason) {
   const auto Cancelled = Jobs_.extract(JobId);
   if (Cancelled.empty())
-    return;
+    return false;
   for (const Waiting &Each : Cancelled.mapped())
     drop(Each, Reason);
+  return true;
 }
 
 void WaitingAttempts::expire() {
--- a/tests/integration/abandoned_attempts_test.cpp
+++ b/tests/integration/abandoned_attempts_test.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// \brief Checks with the real programs that no task starts for a caller that
-/// no longer waits.
+/// no longer waits, or that has cancelled its job.
 #include "standins/platform_cluster.h"
 
 #include <boost/test/unit_test.hpp>
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// One entry and two agents; minion 0 can be cut off from its agent.
+/// Two entries and two agents; minion 0 can be cut off from its agent.
 struct Fixture : PlatformCluster {
   int NextJob_ = 0;
 
@@ -21,27 +21,43 @@
     startAgent(0);
     startAgent(1);
     startEntry(0);
+    startEntry(1);
     BOOST_REQUIRE(waitReady(5s));
     BOOST_REQUIRE(waitBothServe());
   }
 
   static PlatformClusterOptions options() {
     PlatformClusterOptions Options;
+    Options.Entries_ = 2;
     Options.Agents_ = 2;
     return Options;
   }
 
-  /// Submits a job whose caller leaves after \p ClientTimeout; returns the
-  /// status of the answer, or 0 if there was none.
-  int submitOnce(const std::string &Id, int Tasks,
-                 std::chrono::milliseconds ClientTimeout) {
+  /// Submits a job whose caller leaves after \p ClientTimeout. The result is
+  /// the status of the answer, or 0 if there is none.
+  std::future<int> submitAt(std::size_t Entry, const std::string &Id, int Tasks,
+                            std::chrono::milliseconds ClientTimeout,
+                            std::chrono::milliseconds Estimate = 100ms) {
     CallerJob Job;
+    Job.Estimate_ = Estimate;
     Job.Id_ = Id;
     Job.Tasks_ = Tasks;
     Job.ClientTimeout_ = Job.Deadline_ = ClientTimeout;
-    std::promise<wigeonwall::connection::HttpResult> Reply;
-    submit(0, Job, [&Reply](auto Result) { Reply.set_value(Result); });
-    return statusOf(Reply.get_future().get());
+    const auto Status = std::make_shared<std::promise<int>>();
+    submit(Entry, Job,
+           [Status](auto Result) { Status->set_value(statusOf(Result)); });
+    return Status->get_future();
+  }
+
+  int submitOnce(const std::string &Id, int Tasks,
+                 std::chrono::milliseconds ClientTimeout) {
+    return submitAt(0, Id, Tasks, ClientTimeout).get();
+  }
+
+  std::size_t running(std::size_t Minion) {
+    std::size_t Result = 0;
+    run([&] { Result = minion(Minion).running(); });
+    return Result;
   }
 
   int starts(std::size_t Minion, const std::string &Id) {
@@ -113,4 +129,24 @@
   BOOST_TEST(waitBothServe());
 }
 
+// The first entry still had the remains of an attempt, answered 200 by itself,
+// and the job ran on at the second entry.
+BOOST_AUTO_TEST_CASE(a_cancellation_reaches_the_attempt_at_another_entry) {
+  const std::string Id = jobId(3, 1);
+  cutMinion(true);
+  BOOST_REQUIRE(submitOnce(Id, 8, 400ms) != 200);
+  std::this_thread::sleep_for(1'300ms);
+  run([&] { minion(1).RunTime_ = 10s; });
+  auto Answer = submitAt(1, Id, 2, 20s, 10s);
+  for (int I = 0; I < 100 && running(1) == 0; ++I)
+    std::this_thread::sleep_for(10ms);
+  BOOST_REQUIRE(running(1) > 0u);
+  BOOST_REQUIRE(requestStatus(0, "GET", "/q/" + Id) == 200);
+  BOOST_TEST(requestStatus(0, "DELETE", "/q/" + Id) == 200);
+  BOOST_REQUIRE((Answer.wait_for(2s) == std::future_status::ready));
+  BOOST_TEST(Answer.get() == 504);
+  std::this_thread::sleep_for(200ms);
+  BOOST_TEST(running(1) == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/job_dispatcher_test.cpp
+++ b/tests/unit/job_dispatcher_test.cpp
@@ -277,7 +277,8 @@
 BOOST_AUTO_TEST_CASE(a_job_cancelled_during_the_query_never_runs) {
   ageReports();
   submit(1);
-  BOOST_TEST(Jobs_.cancel("job", JobReason::CallerGone));
+  BOOST_TEST(
+      (Jobs_.cancel("job", JobReason::CallerGone) == CancelFound::Attempt));
   BOOST_REQUIRE(Answers_.size() == 1u);
   BOOST_TEST((Answers_[0].Result_ == JobResult::Refused));
   submit(1);
--- a/tests/unit/job_resubmission_test.cpp
+++ b/tests/unit/job_resubmission_test.cpp
@@ -27,12 +27,14 @@
 BOOST_AUTO_TEST_CASE(a_cancelled_resubmission_is_not_started) {
   Jobs_.leave("job", submit(1));
   submit(1);
-  BOOST_TEST(Jobs_.cancel("job", JobReason::Cancelled));
+  BOOST_TEST(
+      (Jobs_.cancel("job", JobReason::Cancelled) == CancelFound::Attempt));
   BOOST_REQUIRE(Answers_.size() == 1u);
   BOOST_TEST((Answers_[0].Reason_ == JobReason::Cancelled));
   end(0, RunEnd::Stopped);
   BOOST_TEST(Orders_.size() == 1u);
-  BOOST_TEST(!Jobs_.cancel("job", JobReason::Cancelled));
+  BOOST_TEST(
+      (Jobs_.cancel("job", JobReason::Cancelled) == CancelFound::Nothing));
 }
 
 // The second resubmission replaced the first, whose caller got no answer.
@@ -125,4 +127,16 @@
   BOOST_TEST((Answers_[1].Result_ == JobResult::Completed));
 }
 
+// The caller may have submitted the job to another entry since.
+BOOST_AUTO_TEST_CASE(a_cancellation_tells_remains_from_an_attempt) {
+  submit(1);
+  const auto Cancel = [this] {
+    return Jobs_.cancel("job", JobReason::Cancelled);
+  };
+  BOOST_TEST((Cancel() == CancelFound::Attempt));
+  BOOST_TEST((Cancel() == CancelFound::Remains));
+  end(0, RunEnd::Stopped);
+  BOOST_TEST((Cancel() == CancelFound::Nothing));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/peer_cancellation_test.cpp
+++ b/tests/unit/peer_cancellation_test.cpp
@@ -34,7 +34,9 @@
     Hooks.After_ = [this](auto, auto Task) { Probe_ = std::move(Task); };
     Hooks.ListNewPeers_ = [this](const auto &Done) { Done(NewPeers_); };
     Hooks.CancelLocally_ = [this](const std::string &JobId, const auto &Done) {
-      Done(Jobs_.erase(JobId) != 0);
+      Done(Jobs_.erase(JobId) != 0      ? CancelFound::Attempt
+           : Remains_.count(JobId) != 0 ? CancelFound::Remains
+                                        : CancelFound::Nothing);
     };
     Hooks.Log_ = [this](const auto &, const std::string &Event, const auto &) {
       Events_.push_back(Event);
@@ -46,6 +48,8 @@
   }
 
   std::set<std::string> Jobs_;
+  /// Jobs with an attempt that is ending.
+  std::set<std::string> Remains_;
   std::vector<std::string> Events_;
   bool Silent_ = false;
   request::TimePoint Now_{1h};
@@ -66,9 +70,10 @@
     Third_->Jobs_ = {"job"};
   }
 
-  PeerCancelResult cancel(const std::string &JobId) {
+  PeerCancelResult cancel(const std::string &JobId,
+                          CancelFound Local = CancelFound::Nothing) {
     std::optional<PeerCancelResult> Result;
-    First_.Cancellation_.cancel(JobId, [&](auto Answer) {
+    First_.Cancellation_.cancel(JobId, Local, [&](auto Answer) {
       BOOST_TEST(!Result.has_value());
       Result = Answer;
     });
@@ -106,7 +111,8 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_known_before_the_entries_are_listed) {
   PeerCancelResult Result = PeerCancelResult::Cancelled;
-  Second_.Cancellation_.cancel("job", [&](auto Answer) { Result = Answer; });
+  Second_.Cancellation_.cancel("job", CancelFound::Nothing,
+                               [&](auto Answer) { Result = Answer; });
   BOOST_TEST((Result == PeerCancelResult::Unanswered));
 }
 
@@ -145,7 +151,8 @@
   Second_.Cancellation_.setPeers({First_.endpoint()});
   const auto Cancel = [this] {
     std::optional<PeerCancelResult> Result;
-    Second_.Cancellation_.cancel("job", [&](auto Answer) { Result = Answer; });
+    Second_.Cancellation_.cancel("job", CancelFound::Nothing,
+                                 [&](auto Answer) { Result = Answer; });
     BOOST_REQUIRE(standins::runUntil(
         Context_, [&] { return Result.has_value(); }, 5s));
     return *Result;
@@ -157,11 +164,47 @@
   BOOST_TEST((Cancel() == PeerCancelResult::Unknown));
 }
 
+// An entry that had only the remains of an earlier attempt answered for all;
+// the entry that ran the job was not asked.
+BOOST_AUTO_TEST_CASE(remains_of_an_attempt_do_not_hide_a_later_one) {
+  BOOST_TEST(
+      (cancel("job", CancelFound::Remains) == PeerCancelResult::Cancelled));
+  BOOST_TEST(Third_->Jobs_.empty());
+  Second_.Remains_ = {"other"};
+  Third_->Jobs_ = {"other"};
+  BOOST_TEST((cancel("other") == PeerCancelResult::Cancelled));
+  BOOST_TEST(Third_->Jobs_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(remains_are_an_answer_only_if_all_entries_answer) {
+  BOOST_TEST(
+      (cancel("other", CancelFound::Remains) == PeerCancelResult::Cancelled));
+  Second_.Remains_ = {"other"};
+  BOOST_TEST((cancel("other") == PeerCancelResult::Cancelled));
+  Third_->Silent_ = true;
+  BOOST_TEST((cancel("other") == PeerCancelResult::Unanswered));
+  Second_.Remains_.clear();
+  BOOST_TEST(
+      (cancel("other", CancelFound::Remains) == PeerCancelResult::Unanswered));
+}
+
+// Two entries have an attempt if one has not noticed that its caller has left.
+BOOST_AUTO_TEST_CASE(an_attempt_found_here_ends_those_elsewhere_too) {
+  bool Answered = false;
+  First_.Cancellation_.cancel("job", CancelFound::Attempt, [&](auto Answer) {
+    BOOST_TEST((Answer == PeerCancelResult::Cancelled));
+    Answered = true;
+  });
+  BOOST_TEST(Answered);
+  BOOST_TEST(standins::runUntil(
+      Context_, [&] { return Third_->Jobs_.empty(); }, 5s));
+}
+
 BOOST_AUTO_TEST_CASE(limits_the_number_of_pending_cancellations) {
   Third_->Silent_ = true;
   std::size_t Unanswered = 0;
   for (int I = 0; I < 100; ++I)
-    First_.Cancellation_.cancel("x", [&](auto Answer) {
+    First_.Cancellation_.cancel("x", CancelFound::Nothing, [&](auto Answer) {
       Unanswered += Answer == PeerCancelResult::Unanswered ? 1 : 0;
     });
   BOOST_TEST(Unanswered == 36u);
--- a/tests/unit/waiting_attempts_test.cpp
+++ b/tests/unit/waiting_attempts_test.cpp
@@ -89,7 +89,8 @@
   add(1);
   add(2);
   add(3, "other");
-  Waiting_.cancel("job", JobReason::Cancelled);
+  BOOST_TEST(Waiting_.cancel("job", JobReason::Cancelled));
+  BOOST_TEST(!Waiting_.cancel("job", JobReason::Cancelled));
   checkDropped({{1, JobReason::Cancelled}, {2, JobReason::Cancelled}});
   BOOST_TEST(take().empty());
   BOOST_TEST((take("other") == Ids{3}));
