Take a refused connection for the end of an entry only without its key

Cause: PeerCancellation took a refused connection as proof that the process and its jobs had ended.

Change: an entry with a key in the store that refuses the connection counts as unanswered (503). If the followed members may be out of date, the store is read first, so that an entry that has withdrawn its key is known as ended at once. ListPeers_ says whether the list is current; it takes the place of ListNewPeers_.

Tests: peer_cancellation_test, three cases. an_ended_process_has_no_jobs is replaced by an_entry_with_a_key_that_refuses_may_have_the_job: it asked for 410 while the key exists, which is the fault; the new case asks for 503, and for 410 once the key has vanished.

--- a/packages/process/include/wigeonwall/process/dispatch/peer_cancellation.h
+++ b/packages/process/include/wigeonwall/process/dispatch/peer_cancellation.h
@@ -13,7 +13,6 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,15 +36,29 @@
         {PeerCancelResult::Unanswered, "unanswered"},
     }};
 
+/// \brief Whether the entries of PeerCancellation::setPeers() are up to date.
+enum class PeerListingState : std::uint8_t {
+  Current,
+  /// They may not be; the registered entries have been read from the store.
+  Read,
+  /// They may not be, and the store does not answer.
+  Unanswered,
+};
+
+struct PeerListing {
+  PeerListingState State_ = PeerListingState::Current;
+  /// The registered entries, if they have been read.
+  std::vector<connection::Endpoint> Peers_ = {};
+
+  /// \brief Whether a peer of setPeers() is still registered.
+  [[nodiscard]] bool confirms(const connection::Endpoint &Peer) const;
+};
+
 struct PeerCancellationHooks {
   request::Clock Now_;
   Schedule After_;
-  /// Passes the entries that may be registered beyond those of setPeers(): none
-  /// if that list is current, and an empty optional if the store does not
-  /// answer.
-  std::function<void(
-      std::function<void(std::optional<std::vector<connection::Endpoint>>)>)>
-      ListNewPeers_;
+  /// Reads the registered entries if those of setPeers() may be out of date.
+  std::function<void(std::function<void(PeerListing)>)> ListPeers_;
   /// Cancels a job at this entry.
   std::function<void(const std::string &JobId,
                      std::function<void(CancelFound)> Done)>
@@ -62,7 +75,8 @@
 /// An attempt is known only to the entry that accepted it, and a caller may
 /// reach any entry, also when it submits the job again. An entry whose key has
 /// vanished from the store may still have jobs and is asked as long as
-/// PeerRoster keeps it.
+/// PeerRoster keeps it. A refused connection shows that a process has ended
+/// only without a key; a cut of the network may refuse connections too.
 class PeerCancellation {
 public:
   using Callback = std::function<void(PeerCancelResult)>;
@@ -93,6 +107,8 @@
   void onAnswer(Pending &State, const connection::Endpoint &Peer,
                 const connection::HttpResult &Result);
   void onAllAnswered(const std::shared_ptr<Pending> &State);
+  void onPeersListed(const std::shared_ptr<Pending> &State,
+                     PeerListing Listing);
   /// Asks the entries without a key at intervals whether they still run.
   void probeRetained();
 
--- a/packages/process/include/wigeonwall/process/dispatch/peer_roster.h
+++ b/packages/process/include/wigeonwall/process/dispatch/peer_roster.h
@@ -38,6 +38,7 @@
   [[nodiscard]] std::vector<connection::Endpoint> peers();
   /// \brief The entries among them that have no key.
   [[nodiscard]] std::vector<connection::Endpoint> retained();
+  [[nodiscard]] bool isRegistered(const connection::Endpoint &Peer) const;
   void onAnswer(const connection::Endpoint &Peer);
   /// \brief Forgets an entry without a key: no process listens at its address.
   void onRefused(const connection::Endpoint &Peer);
--- a/packages/process/src/dispatch/peer_cancellation.cpp
+++ b/packages/process/src/dispatch/peer_cancellation.cpp
@@ -66,13 +66,20 @@
   Callback Done_;
   std::shared_ptr<std::size_t> Count_;
   std::vector<connection::Endpoint> Asked_;
+  /// Entries with a key that have refused the connection.
+  std::vector<connection::Endpoint> Refused_;
   std::size_t Awaited_ = 0;
-  bool NewPeersListed_ = false;
+  bool PeersListed_ = false;
   bool Unanswered_ = false;
   /// An entry has an attempt that was ending already.
   bool Remains_ = false;
 };
 
+bool PeerListing::confirms(const connection::Endpoint &Peer) const {
+  return State_ == PeerListingState::Current ||
+         std::find(Peers_.begin(), Peers_.end(), Peer) != Peers_.end();
+}
+
 PeerCancellation::PeerCancellation(connection::asio::io_context &Context,
                                    PeerCancellationHooks Hooks)
     : Hooks_(std::move(Hooks)), Client_(Context, clientLimits()),
@@ -157,9 +164,12 @@
   // Connections that were opened earlier may be silent too.
   if (Result.Error_ == TransportError::Ambiguous)
     Client_.closeIdleConnections(Peer);
-  // The jobs of an entry whose process has ended have ended with it.
-  if (Result.Refused_)
+  if (Result.Refused_ && !State.PeersListed_) {
+    if (Roster_.isRegistered(Peer))
+      State.Refused_.push_back(Peer);
+    // The jobs of an entry whose process has ended have ended with it.
     return Roster_.onRefused(Peer);
+  }
   const bool Answered = Result.Error_ == TransportError::None;
   if (Answered && Result.Response_.Status_ == StatusOk)
     return State.finish(PeerCancelResult::Cancelled);
@@ -175,24 +185,34 @@
 }
 
 void PeerCancellation::onAllAnswered(const std::shared_ptr<Pending> &State) {
-  if (State->Unanswered_ || State->NewPeersListed_ || !State->Done_)
+  if (State->Unanswered_ || State->PeersListed_ || !State->Done_)
     return State->finish(State->Unanswered_ ? PeerCancelResult::Unanswered
                          : State->Remains_  ? PeerCancelResult::Cancelled
                                             : PeerCancelResult::Unknown);
-  State->NewPeersListed_ = true;
-  Hooks_.ListNewPeers_([this, State, Alive = Alive_](auto Listed) {
-    if (!*Alive)
-      return;
-    if (!Listed) {
-      Hooks_.Log_(State->JobId_, "cancel_unanswered", "peer=store");
-      return State->finish(PeerCancelResult::Unanswered);
-    }
-    std::erase_if(*Listed, [&State](const auto &Peer) {
-      return std::find(State->Asked_.begin(), State->Asked_.end(), Peer) !=
-             State->Asked_.end();
-    });
-    ask(State, *Listed);
+  State->PeersListed_ = true;
+  Hooks_.ListPeers_([this, State, Alive = Alive_](PeerListing Listing) {
+    if (*Alive)
+      onPeersListed(State, std::move(Listing));
+  });
+}
+
+void PeerCancellation::onPeersListed(const std::shared_ptr<Pending> &State,
+                                     PeerListing Listing) {
+  const auto GiveUp = [this, &State](const std::string &Detail) {
+    Hooks_.Log_(State->JobId_, "cancel_unanswered", Detail);
+    State->finish(PeerCancelResult::Unanswered);
+  };
+  if (Listing.State_ == PeerListingState::Unanswered)
+    return GiveUp("peer=store");
+  for (const connection::Endpoint &Peer : State->Refused_)
+    if (Listing.confirms(Peer))
+      return GiveUp("peer=" + connection::formatEndpoint(Peer) +
+                    " cause=refused");
+  std::erase_if(Listing.Peers_, [&State](const auto &Peer) {
+    return std::find(State->Asked_.begin(), State->Asked_.end(), Peer) !=
+           State->Asked_.end();
   });
+  ask(State, Listing.Peers_);
 }
 
 bool PeerCancellation::serve(const HttpRequest &Request,
--- a/packages/process/src/dispatch/peer_roster.cpp
+++ b/packages/process/src/dispatch/peer_roster.cpp
@@ -34,6 +34,11 @@
   return Result;
 }
 
+bool PeerRoster::isRegistered(const Endpoint &Peer) const {
+  return Registered_ && std::find(Registered_->begin(), Registered_->end(),
+                                  Peer) != Registered_->end();
+}
+
 void PeerRoster::onAnswer(const Endpoint &Peer) {
   if (const auto Found = Retained_.find(Peer); Found != Retained_.end())
     Found->second = Now_();
--- a/tests/unit/peer_cancellation_test.cpp
+++ b/tests/unit/peer_cancellation_test.cpp
@@ -32,7 +32,7 @@
     PeerCancellationHooks Hooks;
     Hooks.Now_ = [this] { return Now_; };
     Hooks.After_ = [this](auto, auto Task) { Probe_ = std::move(Task); };
-    Hooks.ListNewPeers_ = [this](const auto &Done) { Done(NewPeers_); };
+    Hooks.ListPeers_ = [this](const auto &Done) { Done(Listing_); };
     Hooks.CancelLocally_ = [this](const std::string &JobId, const auto &Done) {
       Done(Jobs_.erase(JobId) != 0      ? CancelFound::Attempt
            : Remains_.count(JobId) != 0 ? CancelFound::Remains
@@ -54,7 +54,7 @@
   bool Silent_ = false;
   request::TimePoint Now_{1h};
   std::function<void()> Probe_;
-  std::optional<std::vector<connection::Endpoint>> NewPeers_{std::in_place};
+  PeerListing Listing_;
   PeerCancellation Cancellation_;
   connection::HttpServer Server_;
 };
@@ -96,11 +96,39 @@
   BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
 }
 
-BOOST_AUTO_TEST_CASE(an_ended_process_has_no_jobs) {
+// A cut that refused connections was taken for the end of the process: the
+// cancellation was answered as if there were no such job, and the job ran on.
+BOOST_AUTO_TEST_CASE(an_entry_with_a_key_that_refuses_may_have_the_job) {
   Third_.reset();
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
+  BOOST_REQUIRE(!First_.Events_.empty());
+  BOOST_TEST(First_.Events_.back() == "cancel_unanswered");
+  // The key vanishes when the lease of an ended process does.
+  First_.Cancellation_.setPeers({Second_.endpoint()});
   BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
 }
 
+// Changes of the members are read in batches.
+BOOST_AUTO_TEST_CASE(an_entry_that_refuses_is_looked_up_in_the_store) {
+  const connection::Endpoint Ended = Third_->endpoint();
+  Third_.reset();
+  First_.Listing_ = {PeerListingState::Read, {Second_.endpoint(), Ended}};
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
+  First_.Listing_ = {PeerListingState::Unanswered};
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
+  First_.Listing_ = {PeerListingState::Read, {Second_.endpoint()}};
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_has_just_registered_and_refuses_is_kept) {
+  const connection::Endpoint Ended = Third_->endpoint();
+  Third_.reset();
+  First_.Cancellation_.setPeers({Second_.endpoint()});
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unknown));
+  First_.Listing_ = {PeerListingState::Read, {Second_.endpoint(), Ended}};
+  BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
+}
+
 BOOST_AUTO_TEST_CASE(a_silent_entry_may_have_the_job) {
   Third_->Silent_ = true;
   BOOST_TEST((cancel("job") == PeerCancelResult::Unanswered));
@@ -157,9 +185,10 @@
         Context_, [&] { return Result.has_value(); }, 5s));
     return *Result;
   };
-  Second_.NewPeers_.reset();
+  Second_.Listing_ = {PeerListingState::Unanswered};
   BOOST_TEST((Cancel() == PeerCancelResult::Unanswered));
-  Second_.NewPeers_ = {First_.endpoint(), Third_->endpoint()};
+  Second_.Listing_ = {PeerListingState::Read,
+                      {First_.endpoint(), Third_->endpoint()}};
   BOOST_TEST((Cancel() == PeerCancelResult::Cancelled));
   BOOST_TEST((Cancel() == PeerCancelResult::Unknown));
 }
