--- a/tests/integration/platform_path_test.cpp
+++ b/tests/integration/platform_path_test.cpp
@@ -231,6 +231,20 @@
   BOOST_TEST(Cluster.requestStatus(1, "DELETE", "/q/" + jobId(2, 1)) == 410);
 }
 
+// The cancellation of a job whose route had been removed was answered 404, and
+// the job ran on.
+BOOST_AUTO_TEST_CASE(a_job_of_a_removed_route_is_cancelled) {
+  TwoEntries Cluster;
+  const std::string Job = Cluster.startLongJob();
+  Cluster.configure(2, "/other/");
+  for (int I = 0; I < 50 && Cluster.requestStatus(1, "GET", "/q/") != 404; ++I)
+    std::this_thread::sleep_for(20ms);
+  BOOST_TEST(Cluster.requestStatus(1, "DELETE", "/q/" + Job) == 410);
+  BOOST_TEST(PlatformCluster::statusOf(Cluster.Answer_.get()) == 504);
+  BOOST_TEST(Cluster.running() == 0u);
+  BOOST_TEST(Cluster.requestStatus(1, "DELETE", "/q/" + jobId(2, 1)) == 404);
+}
+
 // An entry that was stopping had withdrawn its key at once, so that a
 // cancellation of its job at another entry was answered as if there were no
 // such job.
--- a/tests/unit/platform_codec_test.cpp
+++ b/tests/unit/platform_codec_test.cpp
@@ -186,6 +186,21 @@
   BOOST_TEST(callerHost(Request) == "nony24.example");
 }
 
+BOOST_AUTO_TEST_CASE(reads_the_job_of_a_cancellation_without_a_route) {
+  HttpRequest Request = post("");
+  BOOST_TEST(!decodeCancelledJob(Request));
+  const std::string JobId =
+      Request.Target_.substr(Request.Target_.rfind('/') + 1);
+  Request.Method_ = "DELETE";
+  BOOST_TEST((decodeCancelledJob(Request) == JobId));
+  Request.Target_ = "/removed/nested/" + JobId + "?x=/y";
+  BOOST_TEST((decodeCancelledJob(Request) == JobId));
+  for (const char *Target : {"/", "", "/removed/", "/removed/xyz"}) {
+    Request.Target_ = Target;
+    BOOST_TEST(!decodeCancelledJob(Request));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(encodes_answers) {
   BOOST_TEST(encodeAnswer({JobResult::Completed, {}, {}}).Status_ == 200);
   BOOST_TEST(encodeAnswer({JobResult::Failed, {}, {}}).Body_ ==
