Soak: cancel jobs, and resubmit to the same entry first

Now the second attempt of a job goes to the same entry, callers that leave early leave it early too, and one job in 15 is cancelled at a random entry, up to 2.5 s after its submission; no task may start later than cancel_ms after the acknowledgement, unless a fault held its submission up.

--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -13,8 +13,8 @@
 constexpr Time RecoveryTime{4'000};
 /// Tolerance for an answer that an entry sends at the caller's deadline.
 constexpr Time AnswerMargin{300};
-/// Time after the last caller disconnects in which a task may still start; the
-/// platform's `cancel_ms`.
+/// Time after the last caller disconnects, or a cancellation is acknowledged,
+/// in which a task may still start; the platform's `cancel_ms`.
 constexpr Time MaxCancelDelay{4'000};
 /// Minimum share of jobs that succeed once the system has recovered.
 constexpr double MinServedShare = 0.9;
@@ -95,6 +95,14 @@
   });
 }
 
+bool InvariantChecker::submissionHeldUp(const JobRecord &Record) const {
+  return std::any_of(Record.Attempts_.begin(), Record.Attempts_.end(),
+                     [&](const Attempt &Each) {
+                       return callerFaultActive(Each.Entry_, Each.SentAt_,
+                                                *Record.CancelledAt_);
+                     });
+}
+
 void InvariantChecker::checkJob(const std::string &Id,
                                 const JobRecord &Record) {
   bool Refused = true;
@@ -130,6 +138,12 @@
       addViolation(Observed.LastStart_, "task " + Task +
                                             " started after its callers "
                                             "had disconnected");
+    if (Record.CancelledAt_ &&
+        Observed.LastStart_ > *Record.CancelledAt_ + MaxCancelDelay &&
+        !submissionHeldUp(Record))
+      addViolation(Observed.LastStart_,
+                   "task " + Task + " started after its job was cancelled at " +
+                       std::to_string(Record.CancelledAt_->count()) + " ms");
     if (!Observed.RunningOn_.empty())
       addViolation(LastEnd, "task " + Task + " did not end");
   }
@@ -141,7 +155,7 @@
   for (const auto &[Id, Record] : Jobs_) {
     checkJob(Id, Record);
     if (Record.Attempts_.front().SentAt_ < FaultFreeFrom ||
-        Record.Attempts_.front().DisconnectsEarly_)
+        Record.Attempts_.front().DisconnectsEarly_ || Record.Cancelling_)
       continue;
     ++FaultFreeJobs;
     ServedJobs += Record.Attempts_.front().Status_ == StatusOk ? 1 : 0;
@@ -155,12 +169,16 @@
 std::string InvariantChecker::summary() const {
   std::map<int, int> Counts;
   int Starts = 0;
-  for (const auto &[Id, Record] : Jobs_)
+  int Cancelled = 0;
+  for (const auto &[Id, Record] : Jobs_) {
+    Cancelled += Record.CancelledAt_ ? 1 : 0;
     for (const Attempt &Each : Record.Attempts_)
       ++Counts[Each.Status_];
+  }
   for (const auto &[Task, Record] : Tasks_)
     Starts += Record.Starts_;
   std::string Result = std::to_string(Jobs_.size()) + " jobs, " +
+                       std::to_string(Cancelled) + " cancelled, " +
                        std::to_string(Starts) + " starts, answers";
   for (const auto &[Status, Count] : Counts)
     Result += " " + std::to_string(Status) + ":" + std::to_string(Count);
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -27,6 +27,10 @@
   int Tasks_ = 0;
   Time Deadline_{0};
   std::vector<Attempt> Attempts_;
+  /// The caller has begun to cancel the job, and submits it no more.
+  bool Cancelling_ = false;
+  /// Time of the first answer that acknowledged the cancellation.
+  std::optional<Time> CancelledAt_;
 };
 
 /// \brief Records events and checks them. Not thread-safe: use it from one
@@ -68,6 +72,8 @@
   };
 
   void checkJob(const std::string &Id, const JobRecord &Record);
+  /// Whether a fault may hold up a submission until after the cancellation.
+  [[nodiscard]] bool submissionHeldUp(const JobRecord &Record) const;
 
   std::vector<Fault> Plan_;
   std::map<std::string, TaskRecord> Tasks_;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -23,6 +23,12 @@
 /// One caller in this many disconnects before its answer.
 constexpr int EarlyDisconnectOdds = 25;
 constexpr Time EarlyDisconnectDelay{150};
+/// One job in this many is cancelled by its caller, after up to the delay.
+constexpr int CancelOdds = 15;
+constexpr int MaxCancelDelayMs = 2'500;
+constexpr Time CancelTimeout{1'500};
+constexpr Time CancelRetryDelay{300};
+constexpr int MaxCancelTries = 10;
 constexpr Time JobDeadline{3'000};
 constexpr Time CallerTimeout{3'500};
 /// The platform's `resend_ms`, and the maximum number of submissions of a job.
@@ -51,6 +57,7 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
+constexpr int StatusGone = 410;
 constexpr int StatusBadGateway = 502;
 constexpr int StatusGatewayTimeout = 504;
 
@@ -301,11 +308,22 @@
   ++OpenJobs_;
   const std::size_t Entry =
       static_cast<std::size_t>(LastJobNumber_) % Options_.Entries_;
-  Cluster_.post([this, Id, Tasks, DisconnectsEarly, Entry] {
+  const bool Cancels =
+      std::uniform_int_distribution<int>(1, CancelOdds)(Random_) == 1;
+  const Time CancelDelay(
+      std::uniform_int_distribution<int>(0, MaxCancelDelayMs)(Random_));
+  const std::size_t CancelEntry = std::uniform_int_distribution<std::size_t>(
+      0, Options_.Entries_ - 1)(Random_);
+  Cluster_.post([this, Id, Tasks, DisconnectsEarly, Entry, Cancels, CancelDelay,
+                 CancelEntry] {
     JobRecord &Record = Checker_.job(Id);
     Record.Tasks_ = Tasks;
     Record.Deadline_ = JobDeadline;
     submit(Id, Entry, DisconnectsEarly);
+    if (Cancels)
+      Cluster_.after(CancelDelay, [this, Id, CancelEntry] {
+        cancel(Id, CancelEntry, MaxCancelTries);
+      });
   });
 }
 
@@ -328,6 +346,23 @@
           const HttpResult &Result) { onAnswer(Id, Number, Result); });
 }
 
+void SoakRun::cancel(const std::string &Id, std::size_t Entry, int TriesLeft) {
+  Checker_.job(Id).Cancelling_ = true;
+  Cluster_.send(Entry, "DELETE", "/q/" + Id, "", CancelTimeout, CancelTimeout,
+                [this, Id, Entry, TriesLeft](const HttpResult &Result) {
+                  const int Status = PlatformCluster::statusOf(Result);
+                  if (Status == StatusOk || Status == StatusGone) {
+                    Checker_.job(Id).CancelledAt_ = now();
+                  } else if (TriesLeft > 1) {
+                    const std::size_t Next = (Entry + 1) % Options_.Entries_;
+                    Cluster_.after(CancelRetryDelay,
+                                   [this, Id, Next, TriesLeft] {
+                                     cancel(Id, Next, TriesLeft - 1);
+                                   });
+                  }
+                });
+}
+
 void SoakRun::onAnswer(const std::string &Id, std::size_t Number,
                        const HttpResult &Result) {
   JobRecord &Record = Checker_.job(Id);
@@ -340,13 +375,19 @@
   const bool Resend = Answered.Status_ == 0 ||
                       Answered.Status_ == StatusBadGateway ||
                       Answered.Status_ == StatusGatewayTimeout;
-  if (Answered.DisconnectsEarly_ || !Resend ||
-      Record.Attempts_.size() >= MaxAttempts) {
+  if (!Resend || Record.Cancelling_ || Record.Attempts_.size() >= MaxAttempts) {
     --OpenJobs_;
     return;
   }
-  const std::size_t Entry = (Answered.Entry_ + 1) % Options_.Entries_;
-  Cluster_.after(ResendDelay, [this, Id, Entry] { submit(Id, Entry, false); });
+  // The second attempt goes to the same entry, which may still have the remains
+  // of the first. A caller that left early leaves that one early, too.
+  const std::size_t Entry = (Answered.Entry_ + Number) % Options_.Entries_;
+  const bool DisconnectsEarly = Answered.DisconnectsEarly_ && Number == 0;
+  Cluster_.after(ResendDelay, [this, Id, Entry, DisconnectsEarly] {
+    if (!Checker_.job(Id).Cancelling_)
+      return submit(Id, Entry, DisconnectsEarly);
+    --OpenJobs_;
+  });
 }
 
 void SoakRun::publishNextVersion() {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -46,6 +46,8 @@
   void submit(const std::string &Id, std::size_t Entry, bool DisconnectsEarly);
   void onAnswer(const std::string &Id, std::size_t Attempt,
                 const connection::HttpResult &Result);
+  /// Cancels a job until an entry acknowledges it.
+  void cancel(const std::string &Id, std::size_t Entry, int TriesLeft);
   void publishNextVersion();
   /// Checks that an entry applies the configuration \p Version.
   void checkVersion(std::size_t Entry, int Version, Time WrittenAt);
