Notice that a client has left after it sent its next request

Seen by callers: none; found by asking how an entry learns that nobody waits. A client that had sent its next request before the answer to the first, and then closed the connection, was not noticed: its job ran until its time was over.

Cause: the session waits for input to find the end of the connection. Unread input ends the wait at once, hides the end behind it, and the wait was not repeated.

Change: peerClosed() asks for the end of the connection (POLLRDHUP), which is set although input is unread, and the check is repeated every 50 ms while there is unread input.

Test: http_server_test, the_end_of_a_watched_connection_is_noticed; on the session before, the case with a next request failed after 5 s. A second case checks that both requests are answered and that slow input is still closed.

--- a/packages/connection/src/http_session.cpp
+++ b/packages/connection/src/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <poll.h>
 
 namespace wigeonwall::connection::detail {
 
@@ -20,6 +21,9 @@
 constexpr std::size_t FreeResponseBytes = 4 * 1024;
 /// Time that a peer has to read the last response and close the connection.
 constexpr std::chrono::milliseconds MaxLingerTime{1'000};
+/// Interval between checks for the end of a connection with unread input, on
+/// which a wait for input ends at once.
+constexpr std::chrono::milliseconds PeerCheckPeriod{50};
 
 constexpr int StatusMalformed = 400;
 constexpr int StatusTooLarge = 413;
@@ -118,6 +122,8 @@
     return;
   if (Clock::now() < Deadline_)
     return armTimer();
+  if (Phase_ == SessionPhase::Handling)
+    return checkPeer();
   if (Phase_ == SessionPhase::Reading)
     Server_->countRefusal(InputRefusal::Slow);
   if (Phase_ == SessionPhase::Idle || Phase_ == SessionPhase::Reading)
@@ -280,18 +286,25 @@
   OnPeerClosed_ = std::move(OnClosed);
   Socket_.async_wait(Tcp::socket::wait_read,
                      [Self = shared_from_this()](auto Error) {
-                       if (!Error && Self->OnPeerClosed_ && Self->peerClosed())
-                         std::exchange(Self->OnPeerClosed_, nullptr)();
+                       if (!Error)
+                         Self->checkPeer();
                      });
 }
 
-/// Returns false if the peer has already sent its next request.
+void HttpSession::checkPeer() {
+  // The wait may end after the response, and must not change the next deadline.
+  if (!OnPeerClosed_)
+    return;
+  Deadline_ = Clock::time_point::max();
+  if (peerClosed())
+    return std::exchange(OnPeerClosed_, nullptr)();
+  setDeadline(PeerCheckPeriod);
+}
+
 bool HttpSession::peerClosed() {
-  char Byte = 0;
-  beast::error_code Error;
-  const std::size_t Size =
-      Socket_.receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
-  return Error != asio::error::would_block && Size == 0;
+  // Also set while input before the end of the connection is unread.
+  pollfd State{Socket_.native_handle(), POLLRDHUP, 0};
+  return !Socket_.is_open() || ::poll(&State, 1, 0) > 0;
 }
 
 void HttpSession::reject(int Status, std::string Message,
--- a/packages/connection/src/http_session.h
+++ b/packages/connection/src/http_session.h
@@ -121,6 +121,9 @@
   void refuse(InputRefusal Why);
   void dispatch();
   void watchPeer(std::function<void()> OnClosed);
+  /// Reports the end of the connection, or checks again later.
+  void checkPeer();
+  /// Whether the peer has closed the connection or ended sending.
   [[nodiscard]] bool peerClosed();
   void reject(int Status, std::string Message,
               std::vector<HttpHeader> Headers = {});
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -51,6 +51,10 @@
                 [this](HttpRequest Request, HttpRespond Respond) {
                   if (Request.Target_ == "/hold")
                     return Held_.push_back(std::move(Respond));
+                  if (Request.Target_ == "/watch") {
+                    Request.NotifyOnClose_([this] { ++Left_; });
+                    return Held_.push_back(std::move(Respond));
+                  }
                   if (Request.Target_ == "/throw") {
                     Held_.push_back(std::move(Respond));
                     throw std::out_of_range("unexpected");
@@ -91,6 +95,8 @@
 
   asio::io_context Context_{1};
   std::vector<HttpRespond> Held_;
+  /// Number of watched peers that have closed their connection.
+  int Left_ = 0;
   std::optional<HttpServer> Server_;
 };
 
@@ -344,3 +350,37 @@
   BOOST_TEST(until([&] { return Peer->closed(); }));
   BOOST_TEST(Held_.empty());
 }
+
+// A peer that had sent its next request was not noticed when it left.
+BOOST_FIXTURE_TEST_CASE(the_end_of_a_watched_connection_is_noticed, Fixture) {
+  for (const bool SendsNext : {false, true})
+    BOOST_TEST_CONTEXT("sends its next request: " << SendsNext) {
+      Left_ = 0;
+      const auto Peer = open();
+      Peer->send(get("/watch"));
+      BOOST_REQUIRE(until([&] { return Held_.size() == 1; }));
+      if (SendsNext)
+        Peer->send(get("/next"));
+      runFor(Context_, 120ms);
+      BOOST_TEST(Left_ == 0);
+      Peer->close();
+      BOOST_TEST(until([&] { return Left_ == 1; }));
+      release();
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_watched_request_and_its_next_are_answered, Fixture) {
+  const auto Peer = open();
+  Peer->send(get("/watch"));
+  BOOST_REQUIRE(until([&] { return Held_.size() == 1; }));
+  Peer->send(get("/next"));
+  // Longer than a request may take to arrive.
+  runFor(Context_, 2 * ReadTimeout);
+  release();
+  BOOST_TEST(until([&] { return Peer->count("/next") == 1; }));
+  BOOST_TEST(Peer->count("released") == 1u);
+  BOOST_TEST(Left_ == 0);
+  // The limits on slow requests still hold.
+  Peer->send("GET /slow");
+  BOOST_TEST(until([&] { return Peer->closed(); }));
+}
