Refuse submissions of a job that has just been cancelled

Seen in a test: a submission was held up on its way to one entry. Its cancellation at another entry was answered 410, and when the first entry read the submission, the job ran to its end (200). The same happens when the connections of a caller are read in any order after a stall.

Cause: a cancellation had an effect only on attempts that were known when it was read.

A submission of such a job is refused (503, cancelled) with the remaining time as Retry-After. Cancellations are passed to all entries, so each of them knows.

--- a/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
+++ b/packages/process/include/wigeonwall/process/dispatch/job_dispatcher.h
@@ -7,6 +7,7 @@
 #include "wigeonwall/process/dispatch/job_attempt.h"
 #include "wigeonwall/process/dispatch/job_timing.h"
 #include "wigeonwall/process/dispatch/messages.h"
+#include "wigeonwall/process/dispatch/recent_cancellations.h"
 #include "wigeonwall/process/dispatch/task_quota.h"
 #include "wigeonwall/process/dispatch/waiting_attempts.h"
 #include "wigeonwall/process/runtime/peer_call.h"
@@ -122,7 +123,8 @@
       : Options_(Options), View_(View), Hooks_(std::move(Hooks)),
         Tasks_(Options.MaxTasks_), Retry_({.MaxDelay_ = Options.MaxRetryAfter_},
                                           Hooks_.Now_, Hooks_.Random_),
-        Waiting_({Hooks_.Now_, Hooks_.OnAnswered_, Hooks_.Log_}) {}
+        Waiting_({Hooks_.Now_, Hooks_.OnAnswered_, Hooks_.Log_}),
+        Cancelled_({}, Hooks_.Now_) {}
 
   /// \brief Submits a job. \p Reply is called exactly once, possibly before
   /// this function returns. Resubmitting an active job attaches \p Reply to it;
@@ -140,7 +142,8 @@
   /// \brief Marks all tasks at the agent as lost. They have ended by \p SafeAt
   /// and may be started elsewhere from then on.
   void onAgentLost(const std::string &Agent, request::TimePoint SafeAt);
-  /// \brief Ends all attempts of a job.
+  /// \brief Ends all attempts of a job. If its caller has cancelled it, further
+  /// ones are refused for some time.
   CancelFound cancel(const std::string &JobId, JobReason Reason);
   /// \brief Refuses new jobs that might not end by \p Deadline and ends all
   /// remaining jobs at \p Deadline, so that every caller is answered before the
@@ -273,6 +276,7 @@
   std::map<std::string, JobState> Jobs_;
   AttemptId LastAttempt_ = 0;
   WaitingAttempts Waiting_;
+  RecentCancellations Cancelled_;
   /// Ids of the jobs that await reports.
   std::set<std::string> AwaitingReports_;
   std::optional<request::TimePoint> ShutdownDeadline_;
--- a/packages/process/src/dispatch/job_dispatcher.cpp
+++ b/packages/process/src/dispatch/job_dispatcher.cpp
@@ -78,6 +78,8 @@
 
 void JobDispatcher::submit(JobAttempt Attempt) {
   const std::string Id = Attempt.Spec_.Id_;
+  if (const auto Left = Cancelled_.remaining(Id); Left > Duration::zero())
+    return refuse(Id, Attempt.Reply_, JobReason::Cancelled, Left, {}, "");
   if (const auto Known = Jobs_.find(Id); Known != Jobs_.end())
     return join(Known, std::move(Attempt));
   const JobTiming Times = timing(Attempt.Spec_, Attempt.Policy_);
@@ -400,6 +402,8 @@
 }
 
 CancelFound JobDispatcher::cancel(const std::string &JobId, JobReason Reason) {
+  if (Reason == JobReason::Cancelled)
+    Cancelled_.add(JobId);
   const bool Waited = Waiting_.cancel(JobId, Reason);
   const auto JobIt = Jobs_.find(JobId);
   if (JobIt == Jobs_.end())
--- a/packages/process/src/dispatch/peer_cancellation.cpp
+++ b/packages/process/src/dispatch/peer_cancellation.cpp
@@ -121,8 +121,10 @@
                               Callback Done) {
   // An attempt of a caller that has left may still run at another entry, so the
   // others are asked in any case.
-  if (Local == CancelFound::Attempt)
-    std::exchange(Done, [](PeerCancelResult) {})(PeerCancelResult::Cancelled);
+  if (Local == CancelFound::Attempt) {
+    Done(PeerCancelResult::Cancelled);
+    Done = [](PeerCancelResult) {};
+  }
   if (!Roster_.known() || *PendingCount_ >= MaxPending) {
     Hooks_.Log_(JobId, "cancel_not_forwarded",
                 Roster_.known() ? "cause=too_many_pending"
--- a/tests/integration/abandoned_attempts_test.cpp
+++ b/tests/integration/abandoned_attempts_test.cpp
@@ -149,4 +149,19 @@
   BOOST_TEST(running(1) == 0u);
 }
 
+// A submission that was held up on its way ran although its job had been
+// cancelled at another entry meanwhile.
+BOOST_AUTO_TEST_CASE(a_submission_read_after_its_cancellation_is_not_started) {
+  const std::string Id = jobId(4, 1);
+  RelayFaults Held;
+  Held.HoldRequests_ = true;
+  run([&] { relay(Hop::CallerToEntry, 0).setFaults(Held); });
+  auto Answer = submitAt(0, Id, 4, 5s);
+  std::this_thread::sleep_for(200ms);
+  BOOST_TEST(requestStatus(1, "DELETE", "/q/" + Id) == 410);
+  run([&] { relay(Hop::CallerToEntry, 0).setFaults({}); });
+  BOOST_TEST(Answer.get() == 503);
+  BOOST_TEST(starts(0, Id) + starts(1, Id) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
