Close the connections of a test in its child processes

The third attempt of a job ran at one entry while the second, whose caller had left 1.3 s before, still ran at the other.

Cause: of the test, not of the product. ChildProcess forks while the connections of callers are open, and a process that is started in the middle of a run inherits them. When the caller closes its connection, the copy keeps it open, and the entry is not told. In a trace of the entry, no end of the connection arrives; the test closes its descriptor on time.

Change: a child closes all descriptors but its standard streams.

Test: child_process_test, which failed before (no end of the connection within 5 s).

--- a/tests/standins/child_process.cpp
+++ b/tests/standins/child_process.cpp
@@ -31,6 +31,9 @@
   dup2(Null, STDIN_FILENO);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
+  // A connection that the child inherits stays open after the parent has closed
+  // it, so that its peer is not told.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(Arguments[0], Arguments);
   _exit(CommandNotRunExitCode);
 }
