Soak: print the longest gaps of its load and its event loop

To tell such a stall of the machine from a fault of the product, each run now prints the longest gap of the load and of the event loop.

--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -42,6 +42,8 @@
   void injectMinionFault(const Fault &Injected);
   void schedule(Time Delay, std::function<void()> Action);
   void runDueActions();
+  /// Measures LongestLoopGap_ from \p LastTurn on.
+  void measureLoopGap(Time LastTurn);
   void submitNext();
   void submit(const std::string &Id, std::size_t Entry, bool DisconnectsEarly);
   void onAnswer(const std::string &Id, std::size_t Attempt,
@@ -60,6 +62,11 @@
   standins::PlatformCluster Cluster_;
   std::vector<Fault> Plan_;
   InvariantChecker Checker_;
+  /// Longest time between two turns of the loop that generates the load, and of
+  /// the event loop of callers, minions, store and relays. A long one shows
+  /// that the machine has not run that thread.
+  Time LongestGap_{0};
+  Time LongestLoopGap_{0};
   Clock::time_point StartedAt_;
   /// Numbers of active faults by process (whether it is an entry, and its
   /// index); faults may overlap.
