Test that callers that leave are noticed on used connections

Questions of the trace before: a caller that leaves long before its time is over, on a new connection and on one that has served other requests. Both are noticed; http_server_test and abandoned_attempts_test keep that.

--- a/tests/integration/abandoned_attempts_test.cpp
+++ b/tests/integration/abandoned_attempts_test.cpp
@@ -164,4 +164,29 @@
   BOOST_TEST(starts(0, Id) + starts(1, Id) == 0);
 }
 
+// The caller's time is not over, so only the end of its connection shows that
+// it has left.
+BOOST_AUTO_TEST_CASE(the_job_of_a_caller_that_leaves_ends) {
+  run([&] {
+    for (std::size_t I = 0; I < 2; ++I)
+      minion(I).RunTime_ = 10s;
+  });
+  for (int Number = 1; Number <= 10; ++Number) {
+    // Leaves an open connection, which the next request uses.
+    if (Number % 2 == 0)
+      BOOST_TEST(requestStatus(0, "GET", "/q/") == 200);
+    CallerJob Job;
+    Job.Id_ = jobId(5, Number);
+    Job.Estimate_ = 10s;
+    Job.Deadline_ = 20s;
+    Job.ClientTimeout_ = 300ms;
+    std::promise<void> Left;
+    submit(0, Job, [&Left](auto) { Left.set_value(); });
+    Left.get_future().get();
+    BOOST_TEST(starts(0, Job.Id_) + starts(1, Job.Id_) == 1);
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(running(0) + running(1) == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -384,3 +384,28 @@
   Peer->send("GET /slow");
   BOOST_TEST(until([&] { return Peer->closed(); }));
 }
+
+// Connections are used for several requests.
+BOOST_FIXTURE_TEST_CASE(the_end_of_a_reused_connection_is_noticed, Fixture) {
+  for (const bool WatchesFirst : {false, true})
+    BOOST_TEST_CONTEXT("watches the first request: " << WatchesFirst) {
+      Left_ = 0;
+      const auto Peer = open();
+      if (WatchesFirst) {
+        Peer->send(get("/watch"));
+        BOOST_REQUIRE(until([&] { return Held_.size() == 1; }));
+        release();
+        BOOST_REQUIRE(until([&] { return Peer->count("released") == 1; }));
+      } else {
+        Peer->send(get("/first"));
+        BOOST_REQUIRE(until([&] { return Peer->count("/first") == 1; }));
+      }
+      runFor(Context_, 20ms);
+      Peer->send(get("/watch"));
+      BOOST_REQUIRE(until([&] { return Held_.size() == 1; }));
+      runFor(Context_, 20ms);
+      Peer->close();
+      BOOST_TEST(until([&] { return Left_ == 1; }));
+      release();
+    }
+}
