--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -10,6 +10,10 @@
 
 namespace wigeonwall::soak {
 
+/// Time from SIGTERM to the end of a process; `grace_period_s` in
+/// PlatformCluster.
+inline constexpr Time GracePeriod{3'500};
+
 struct SoakResult {
   std::vector<std::string> Violations_;
   std::vector<Fault> Plan_;
